--- /dev/null
+++ b/shared/modules/buffer/ring_test.go
@@ -0,0 +1,32 @@
+package buffer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+)
+
+// Guards against lost or reordered items when the ring wraps around, and
+// against consumers that hang after Close.
+func TestRing(t *testing.T) {
+	t.Parallel()
+	ring := buffer.NewRing[int](2)
+	for i := range 5 {
+		require.True(t, ring.TryPush(i))
+		require.True(t, ring.TryPush(i+100))
+		require.False(t, ring.TryPush(-1), "a full ring must refuse")
+		batch := make([]int, 4)
+		require.Equal(t, 2, ring.PopBatch(batch))
+		require.Equal(t, []int{i, i + 100}, batch[:2])
+	}
+	require.True(t, ring.TryPush(7))
+	ring.Close()
+	item, ok := ring.Pop()
+	require.True(t, ok)
+	require.Equal(t, 7, item)
+	_, ok = ring.Pop()
+	require.False(t, ok)
+	require.False(t, ring.TryPush(8))
+}
--- /dev/null
+++ b/shared/modules/setting/setting.go
@@ -0,0 +1,90 @@
+// Package setting reads the settings of a program from flags and environment
+// variables and reports every wrong value at once.
+package setting
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+// Checker is implemented by settings that can check their values.
+type Checker interface {
+	// Check adds a problem for each wrong value.
+	Check(problems *Problems)
+}
+
+// Problems collects wrong values.
+type Problems struct {
+	list []string
+}
+
+// Addf adds a problem with the named setting.
+func (p *Problems) Addf(name, format string, args ...any) {
+	p.list = append(p.list, fmt.Sprintf("--%s: %s", name, fmt.Sprintf(format, args...)))
+}
+
+// Err returns an error that names all problems, or nil if there are none.
+func (p *Problems) Err() error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d wrong settings:\n  %s", len(p.list), strings.Join(p.list, "\n  "))
+}
+
+// CheckListen adds a problem if addr is not valid, or if it is not a loopback
+// address although the program has no certificates.
+func (p *Problems) CheckListen(name string, addr netip.AddrPort, hasCertificates bool) {
+	if !addr.IsValid() {
+		p.Addf(name, "must be IP:PORT")
+		return
+	}
+	if !hasCertificates && !addr.Addr().IsLoopback() {
+		p.Addf(name, "%s is not a loopback address; set --tls-cert, --tls-key and --tls-ca to bind others", addr)
+	}
+}
+
+// ErrHelpShown reports that --help or --version was answered and the program
+// should exit with success.
+var ErrHelpShown = errors.New("help was shown")
+
+// Parse fills settings from args and the environment, writes help to w, and
+// checks the values. It returns ErrHelpShown after --help or --version.
+func Parse(settings Checker, args []string, name, description string, w io.Writer) error {
+	exited := false
+	parser, err := kong.New(settings,
+		kong.Name(name), kong.Description(description), kong.Writers(w, w),
+		kong.Exit(func(int) { exited = true }),
+		kong.Vars{"version": Version()})
+	if err != nil {
+		return fmt.Errorf("build the command line of %s: %w", name, err)
+	}
+	if _, err := parser.Parse(args); exited {
+		return ErrHelpShown
+	} else if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	var problems Problems
+	settings.Check(&problems)
+	return problems.Err()
+}
+
+// Version returns the version of the main module and its revision, if known.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version += " " + s.Value
+		}
+	}
+	return version
+}
--- /dev/null
+++ b/shared/modules/transporter/client.go
@@ -0,0 +1,73 @@
+package transporter
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"google.golang.org/grpc"
+)
+
+// Pool keeps one connection for each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	config *tls.Config
+	mu     sync.Mutex
+	conns  map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool. A nil config connects without TLS.
+func NewPool(config *tls.Config) *Pool {
+	return &Pool{config: config, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+}
+
+// Call invokes a unary method, such as "/redwingledge.entry.Peer/Deliver", at
+// addr. Errors carry a gRPC status.
+func Call[Req, Resp any](ctx context.Context, p *Pool, addr netip.AddrPort, method string, req *Req) (*Resp, error) {
+	conn, err := p.get(addr)
+	if err != nil {
+		return nil, err
+	}
+	resp := new(Resp)
+	if err := conn.Invoke(ctx, method, req, resp, grpc.ForceCodec(codec{})); err != nil {
+		return nil, fmt.Errorf("call %s at %s: %w", method, addr, err)
+	}
+	return resp, nil
+}
+
+// Forget closes the connection to a peer that has left.
+func (p *Pool) Forget(addr netip.AddrPort) {
+	p.mu.Lock()
+	conn := p.conns[addr]
+	delete(p.conns, addr)
+	p.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, addr)
+	}
+}
+
+func (p *Pool) get(addr netip.AddrPort) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[addr]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(), grpc.WithTransportCredentials(serverCredentials(p.config)))
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", addr, err)
+	}
+	p.conns[addr] = conn
+	return conn, nil
+}
--- /dev/null
+++ b/shared/modules/transporter/transporter_test.go
@@ -0,0 +1,37 @@
+package transporter_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+type greeting struct {
+	Name string         `cbor:"name"`
+	From netip.AddrPort `cbor:"from"`
+}
+
+// Guards against fields that the codec drops, such as addresses.
+func TestCallCarriesAllFields(t *testing.T) {
+	t.Parallel()
+	service := transporter.NewService("test.Greeter")
+	transporter.Handle(service, "Greet", func(_ context.Context, req *greeting) (*greeting, error) {
+		return &greeting{Name: "hello " + req.Name, From: req.From}, nil
+	})
+	server, err := transporter.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, service)
+	require.NoError(t, err)
+	go func() { _ = server.Serve() }()
+	defer server.Stop()
+
+	pool := transporter.NewPool(nil)
+	defer pool.Close()
+	from := netip.MustParseAddrPort("[2001:db8::1]:80")
+	resp, err := transporter.Call[greeting, greeting](t.Context(), pool, netip.MustParseAddrPort(server.Addr()),
+		"/test.Greeter/Greet", &greeting{Name: "a", From: from})
+	require.NoError(t, err)
+	require.Equal(t, greeting{Name: "hello a", From: from}, *resp)
+}
