--- /dev/null
+++ b/control/services/replicator/entry_log.go
@@ -0,0 +1,88 @@
+package replicator
+
+import (
+	"fmt"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+)
+
+// entryLog holds the log in memory. The first element only marks the position
+// before the first usable entry.
+type entryLog struct {
+	entries []storer.Entry
+}
+
+func newEntryLog(snapshot *storer.Snapshot, entries []storer.Entry) (entryLog, error) {
+	mark := storer.Entry{}
+	if snapshot != nil {
+		mark = storer.Entry{Index: snapshot.Index, Term: snapshot.Term}
+	}
+	if len(entries) > 0 && entries[0].Index <= mark.Index {
+		mark = storer.Entry{Index: entries[0].Index, Term: entries[0].Term}
+		entries = entries[1:]
+	}
+	l := entryLog{entries: append([]storer.Entry{mark}, entries...)}
+	for i, e := range l.entries {
+		if e.Index != mark.Index+uint64(i) {
+			return entryLog{}, fmt.Errorf("stored log has entry %d where %d belongs", e.Index, mark.Index+uint64(i))
+		}
+	}
+	if snapshot != nil && l.last() < snapshot.Index {
+		l = entryLog{entries: []storer.Entry{{Index: snapshot.Index, Term: snapshot.Term}}}
+	}
+	return l, nil
+}
+
+func (l *entryLog) base() uint64 { return l.entries[0].Index }
+
+func (l *entryLog) last() uint64 { return l.entries[len(l.entries)-1].Index }
+
+func (l *entryLog) lastTerm() uint64 { return l.entries[len(l.entries)-1].Term }
+
+// term returns the term at index, or false if the log does not hold it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index < l.base() || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.base()].Term, true
+}
+
+// slice returns the entries from first to last inclusive, up to about maxBytes
+// but at least one.
+func (l *entryLog) slice(first, last uint64, maxBytes int) []storer.Entry {
+	if first <= l.base() || first > last || last > l.last() {
+		return nil
+	}
+	all := l.entries[first-l.base() : last-l.base()+1]
+	size := 0
+	for i, e := range all {
+		if size += len(e.Data) + entryOverhead; size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// add appends entries and drops those that are at the same or a later index.
+// Slices handed out before stay unchanged.
+func (l *entryLog) add(entries []storer.Entry) {
+	keep := entries[0].Index - l.base()
+	if keep < uint64(len(l.entries)) {
+		l.entries = l.entries[:keep:keep]
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// compact drops the entries before index, which becomes the mark.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.base() {
+		return
+	}
+	rest := l.entries[index-l.base():]
+	l.entries = append(make([]storer.Entry, 0, len(rest)), rest...)
+	l.entries[0].Data = nil
+}
+
+func (l *entryLog) reset(index, term uint64) {
+	l.entries = []storer.Entry{{Index: index, Term: term}}
+}
--- /dev/null
+++ b/control/services/replicator/machine.go
@@ -0,0 +1,345 @@
+// Package replicator decides how the replicas of control agree on one log. It
+// follows Raft (Ongaro and Ousterhout, 2014) with pre-vote and single-server
+// membership changes, and adds a verification after each start that protects
+// against disks that went back in time (see docs/replication.md).
+//
+// The Machine is deterministic: its inputs carry the time, its randomness is
+// passed in, and it has no sockets, goroutines or files.
+package replicator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+)
+
+// entryOverhead is about the encoded size of an entry without its data, in bytes.
+const entryOverhead = 32
+
+// maxAddresses bounds the remembered addresses of senders; a cluster has at most
+// 7 replicas.
+const maxAddresses = 64
+
+// Peer is a replica of the settings.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Settings are the constants of a Machine.
+type Settings struct {
+	// Name and Address are those of this replica.
+	Name    string
+	Address netip.AddrPort
+	// Peers are all replicas of the settings, including this one.
+	Peers []Peer
+	// Bootstrap allows an empty replica that is the first of Peers to create a
+	// cluster if all others are empty, too.
+	Bootstrap bool
+	// Heartbeat is the period of the leader's messages.
+	Heartbeat time.Duration
+	// ElectionTimeout is the shortest silence of the leader before an election.
+	ElectionTimeout time.Duration
+	// TrustDiskAfter is how long a restarted replica insists on the complete
+	// verification before a majority suffices. 0 means forever.
+	TrustDiskAfter time.Duration
+	// SnapshotEntries is the number of entries after which a snapshot is taken.
+	SnapshotEntries int
+	// KeepEntries is the number of entries kept before a snapshot, so that
+	// slightly slow replicas do not need the snapshot.
+	KeepEntries int
+	// MaxAppendBytes bounds the entries of one message.
+	MaxAppendBytes int
+	// MaxPending bounds the proposals that wait for a majority.
+	MaxPending int
+}
+
+// DefaultSettings returns the settings that do not name replicas.
+func DefaultSettings() Settings {
+	return Settings{
+		Heartbeat:       100 * time.Millisecond,
+		ElectionTimeout: time.Second,
+		TrustDiskAfter:  10 * time.Second,
+		SnapshotEntries: 2000,
+		KeepEntries:     500,
+		MaxAppendBytes:  512 << 10,
+		MaxPending:      1024,
+	}
+}
+
+type membershipAt struct {
+	index      uint64
+	membership storer.Membership
+}
+
+// Counts are events since the start. They only grow.
+type Counts struct {
+	Elections, TermsLed, MessagesRefused, LateResponses, SnapshotsSent, SnapshotsInstalled,
+	MembershipChanges, Verifications, WeakVerifications, JoinsRefused uint64
+}
+
+// Machine is the state machine of one replica. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	rng      *rand.Rand
+	id       storer.Identity
+	session  uint64
+	started  time.Time
+	now      time.Time
+	out      []Output
+	counts   Counts
+	// majority returns how many of n voters decide. Tests replace it.
+	majority func(n int) int
+
+	term        uint64
+	vote        storer.Identity
+	log         entryLog
+	snapshot    *storer.Snapshot
+	memberships []membershipAt
+	commit      uint64
+	snapshotDue bool
+
+	role       Role
+	leader     storer.Identity
+	leaderSeen time.Time
+	electionAt time.Time
+	voteUntil  time.Time
+	votes      map[storer.Identity]bool
+
+	verification verification
+	joining      joining
+	// addresses are those of recent senders, for answers to replicas that the
+	// membership lacks.
+	addresses map[storer.Identity]netip.AddrPort
+	incoming  incomingSnapshot
+	leading   *leading
+}
+
+// New returns the Machine of a replica that has just started with the given
+// durable state.
+func New(settings Settings, state *storer.State, now time.Time, rng *rand.Rand) (*Machine, error) {
+	log, err := newEntryLog(state.Snapshot, state.Entries)
+	if err != nil {
+		return nil, err
+	}
+	m := &Machine{
+		settings: settings, rng: rng, id: state.Identity, session: rng.Uint64(), started: now, now: now,
+		majority: func(n int) int { return n/2 + 1 },
+		term:     state.Vote.Term, vote: state.Vote.For, log: log, snapshot: state.Snapshot,
+		memberships: []membershipAt{{}}, role: RoleFollower,
+		addresses: make(map[storer.Identity]netip.AddrPort), joining: joining{empty: make(map[string]bool)},
+	}
+	if s := state.Snapshot; s != nil {
+		m.memberships[0] = membershipAt{index: s.MembershipIndex, membership: s.Membership}
+		m.commit = s.Index
+		m.emit(Restore{Snapshot: s})
+	}
+	for _, e := range log.entries[1:] {
+		if err := m.noteMembership(e); err != nil {
+			return nil, err
+		}
+	}
+	m.leaderSeen = now.Add(-settings.ElectionTimeout)
+	m.resetElection()
+	m.startVerification(state.IsNew)
+	return m, nil
+}
+
+// Step handles inputs and returns what must be done, in order.
+func (m *Machine) Step(inputs ...Input) []Output {
+	for _, input := range inputs {
+		m.handle(input)
+	}
+	m.flush()
+	out := m.out
+	m.out = nil
+	return out
+}
+
+func (m *Machine) handle(input Input) {
+	switch in := input.(type) {
+	case Tick:
+		m.advance(in.Now)
+		m.tick()
+	case Receive:
+		m.advance(in.Now)
+		m.receive(in.Envelope)
+	case Propose:
+		m.advance(in.Now)
+		m.propose(in)
+	case Read:
+		m.advance(in.Now)
+		m.read(in)
+	case Remove:
+		m.advance(in.Now)
+		m.remove(in)
+	case SnapshotTaken:
+		m.advance(in.Now)
+		m.compact(in)
+	}
+}
+
+func (m *Machine) advance(now time.Time) {
+	if now.After(m.now) {
+		m.now = now
+	}
+}
+
+func (m *Machine) emit(output Output) { m.out = append(m.out, output) }
+
+func (m *Machine) tick() {
+	m.tickVerification()
+	m.tickJoining()
+	if m.role == RoleLeader {
+		m.tickLeading()
+		return
+	}
+	if !m.now.Before(m.electionAt) || m.isAlone() {
+		m.startElection(true)
+	}
+}
+
+// isAlone reports that this replica is the only voter.
+func (m *Machine) isAlone() bool {
+	membership := m.membership()
+	return membership.Voters() == 1 && membership.IsVoter(m.id)
+}
+
+func (m *Machine) receive(env Envelope) {
+	cluster := m.membership().Cluster
+	if (!env.To.IsZero() && env.To != m.id) || env.From == m.id ||
+		(!cluster.IsZero() && !env.Cluster.IsZero() && cluster != env.Cluster) {
+		m.counts.MessagesRefused++
+		return
+	}
+	if len(m.addresses) >= maxAddresses {
+		clear(m.addresses)
+	}
+	m.addresses[env.From] = env.Address
+	switch msg := env.Message.(type) {
+	case *VoteRequest:
+		m.handleVoteRequest(env.From, msg)
+	case *VoteResponse:
+		m.handleVoteResponse(env.From, msg)
+	case *AppendRequest:
+		m.handleAppendRequest(env.From, msg)
+	case *AppendResponse:
+		m.handleAppendResponse(env.From, msg)
+	case *SnapshotRequest:
+		m.handleSnapshotRequest(env.From, msg)
+	case *SnapshotResponse:
+		m.handleSnapshotResponse(env.From, msg)
+	case *VerifyRequest:
+		m.handleVerifyRequest(env.From, msg)
+	case *VerifyResponse:
+		m.handleVerifyResponse(env.From, msg)
+	case *JoinRequest:
+		m.handleJoinRequest(env.From, msg)
+	case *JoinResponse:
+		m.handleJoinResponse(env.From, msg)
+	}
+}
+
+// send addresses a message to a replica. A replica that is not a member, such as
+// a candidate that this replica does not know yet, is reached by the address
+// that it gave with its messages.
+func (m *Machine) send(to storer.Identity, message Message) {
+	member, ok := m.membership().Get(to)
+	if !ok {
+		member = storer.Member{ID: to, Address: m.addresses[to]}
+	}
+	m.sendTo(member, message)
+}
+
+func (m *Machine) sendTo(to storer.Member, message Message) {
+	m.emit(Send{To: to, Envelope: Envelope{
+		Cluster: m.membership().Cluster, From: m.id, Address: m.settings.Address, To: to.ID, Message: message,
+	}})
+}
+
+// membership returns the newest membership of the log, committed or not.
+func (m *Machine) membership() storer.Membership {
+	return m.memberships[len(m.memberships)-1].membership
+}
+
+func (m *Machine) membershipIndex() uint64 { return m.memberships[len(m.memberships)-1].index }
+
+func (m *Machine) noteMembership(e storer.Entry) error {
+	if e.Kind != storer.EntryMembership || e.Index <= m.membershipIndex() {
+		return nil
+	}
+	var membership storer.Membership
+	if err := cbor.Unmarshal(e.Data, &membership); err != nil {
+		return fmt.Errorf("decode the membership of entry %d: %w", e.Index, err)
+	}
+	m.memberships = append(m.memberships, membershipAt{index: e.Index, membership: membership})
+	return nil
+}
+
+// appendEntries adds entries to the log, and drops those that they replace.
+func (m *Machine) appendEntries(entries []storer.Entry) {
+	m.memberships = slices.DeleteFunc(m.memberships, func(at membershipAt) bool {
+		return at.index > 0 && at.index >= entries[0].Index
+	})
+	m.log.add(entries)
+	for _, e := range entries {
+		if err := m.noteMembership(e); err != nil {
+			panic(err) // only this program encodes memberships
+		}
+	}
+	m.emit(SaveEntries{Entries: entries})
+}
+
+// setCommit hands out the entries that became committed.
+func (m *Machine) setCommit(index uint64) {
+	if index <= m.commit {
+		return
+	}
+	entries := m.log.entries[m.commit+1-m.log.base() : index+1-m.log.base()]
+	m.emit(Apply{Entries: slices.Clone(entries)})
+	m.commit = index
+	taken := uint64(0)
+	if m.snapshot != nil {
+		taken = m.snapshot.Index
+	}
+	if !m.snapshotDue && m.commit-taken >= uint64(m.settings.SnapshotEntries) {
+		m.snapshotDue = true
+		m.emit(TakeSnapshot{Index: m.commit})
+	}
+}
+
+func (m *Machine) setTerm(term uint64, vote storer.Identity) {
+	m.term, m.vote = term, vote
+	m.emit(SaveVote{Vote: storer.Vote{Term: term, For: vote}})
+}
+
+func (m *Machine) becomeFollower(term uint64, leader storer.Identity) {
+	if m.role == RoleLeader {
+		m.abandon()
+	}
+	if m.role != RoleFollower {
+		m.resetElection()
+	}
+	m.role, m.leader = RoleFollower, leader
+	if term > m.term {
+		m.setTerm(term, storer.Identity{})
+	}
+}
+
+func (m *Machine) resetElection() {
+	jitter := time.Duration(m.rng.Int64N(int64(m.settings.ElectionTimeout)))
+	m.electionAt = m.now.Add(m.settings.ElectionTimeout + jitter)
+}
+
+// clock returns the time since the start in nanoseconds.
+func (m *Machine) clock() int64 { return int64(m.now.Sub(m.started)) }
+
+func (m *Machine) echo(round uint64, sentAt int64) Echo {
+	return Echo{Round: round, SentAt: sentAt, Session: m.session, Verified: m.verification.done}
+}
--- /dev/null
+++ b/control/services/replicator/membership.go
@@ -0,0 +1,159 @@
+package replicator
+
+import (
+	"slices"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+)
+
+// maxLag is the number of entries that a non-voter may lack when it is promoted.
+// Under load a non-voter is always slightly behind.
+const maxLag = 64
+
+// canChangeMembership reports whether the last change and an entry of the current
+// term are committed, without which two majorities might not overlap.
+func (m *Machine) canChangeMembership() bool {
+	return m.membershipIndex() <= m.commit && m.commit >= m.leading.start
+}
+
+// reviewMembership makes at most one change: it adds a replica that asked to join
+// as a non-voter, or brings in one that has caught up.
+func (m *Machine) reviewMembership() {
+	if m.canChangeMembership() && !m.admitJoiner() {
+		m.promoteCaughtUp()
+	}
+}
+
+func (m *Machine) admitJoiner() bool {
+	joins := make([]storer.Member, 0, len(m.leading.joins))
+	for _, member := range m.leading.joins {
+		joins = append(joins, member)
+	}
+	clear(m.leading.joins)
+	slices.SortFunc(joins, func(a, b storer.Member) int { return slices.Compare(a.ID[:], b.ID[:]) })
+	for _, joiner := range joins {
+		known, ok := m.membership().Get(joiner.ID)
+		if ok && known.Address == joiner.Address {
+			continue
+		}
+		if !ok && !m.mayJoin(joiner) {
+			m.counts.JoinsRefused++
+			continue
+		}
+		membership := m.membership()
+		for _, other := range membership.Members {
+			if !ok && other.Name == joiner.Name && !other.Voter {
+				membership = membership.Without(other.ID)
+			}
+		}
+		joiner.Voter = ok && known.Voter
+		m.changeMembership(membership.With(joiner))
+		return true
+	}
+	return false
+}
+
+// mayJoin reports whether the name of a new replica is known and its earlier
+// identity, if any, is silent.
+func (m *Machine) mayJoin(joiner storer.Member) bool {
+	known := slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Name == joiner.Name })
+	for _, member := range m.membership().Members {
+		if member.Name != joiner.Name {
+			continue
+		}
+		if member.ID == m.id || m.isFresh(member.ID) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
+func (m *Machine) isFresh(id storer.Identity) bool {
+	p := m.leading.progress[id]
+	return id == m.id || (p != nil && p.verified && p.sentAt >= m.freshSince())
+}
+
+func (m *Machine) promoteCaughtUp() {
+	membership := m.membership()
+	for _, member := range membership.Members {
+		if member.Voter || !m.isFresh(member.ID) || m.leading.progress[member.ID].match+maxLag < m.log.last() {
+			continue
+		}
+		// The earlier identity of a repaired replica leaves first, so that the
+		// number of voters never exceeds the number of replicas.
+		for _, other := range membership.Members {
+			if other.Name == member.Name && other.Voter {
+				if m.canRemove(other.ID) {
+					m.changeMembership(membership.Without(other.ID))
+				}
+				return
+			}
+		}
+		member.Voter = true
+		m.changeMembership(membership.With(member))
+		return
+	}
+}
+
+// canRemove reports whether a majority of the voters that remain answers.
+func (m *Machine) canRemove(id storer.Identity) bool {
+	voters, fresh := 0, 0
+	for _, member := range m.membership().Members {
+		if member.Voter && member.ID != id {
+			voters++
+			if m.isFresh(member.ID) {
+				fresh++
+			}
+		}
+	}
+	return voters > 0 && fresh >= m.majority(voters)
+}
+
+func (m *Machine) changeMembership(membership storer.Membership) {
+	m.counts.MembershipChanges++
+	m.appendOwn(storer.EntryMembership, encodeMembership(membership))
+}
+
+func (m *Machine) remove(in Remove) {
+	if err := m.checkRemove(in.Name); err != nil {
+		m.emit(Refused{ID: in.ID, Err: err})
+		return
+	}
+	membership := m.membership()
+	for _, member := range m.membership().Members {
+		if member.Name == in.Name {
+			membership = membership.Without(member.ID)
+		}
+	}
+	index := m.log.last() + 1
+	m.leading.pending[index] = in.ID
+	m.emit(Accepted{ID: in.ID, Index: index, Term: m.term})
+	m.changeMembership(membership)
+}
+
+func (m *Machine) checkRemove(name string) error {
+	if err := m.checkLeading(); err != nil {
+		return err
+	}
+	if name == m.settings.Name {
+		return ErrRemoveLeader{Name: name}
+	}
+	if !m.canChangeMembership() {
+		return ErrOverloaded{Waiting: 1}
+	}
+	found := false
+	for _, member := range m.membership().Members {
+		if member.Name != name {
+			continue
+		}
+		found = true
+		if member.Voter && !m.canRemove(member.ID) {
+			return ErrNoQuorum{Reason: "too few of the remaining replicas answer"}
+		}
+	}
+	if !found {
+		return ErrReplicaNotExist{Name: name}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/services/replicator/snapshotting.go
@@ -0,0 +1,122 @@
+package replicator
+
+import (
+	"github.com/redwingledge/redwingledge/control/models/storer"
+)
+
+// incomingSnapshot is a snapshot of which this replica has received a part.
+type incomingSnapshot struct {
+	from  storer.Identity
+	term  uint64
+	index uint64
+	data  []byte
+}
+
+// compact keeps a snapshot of the Applier and drops most of the log before it.
+func (m *Machine) compact(in SnapshotTaken) {
+	m.snapshotDue = false
+	term, ok := m.log.term(in.Index)
+	if in.Err != nil || !ok || in.Index > m.commit || (m.snapshot != nil && in.Index <= m.snapshot.Index) {
+		return
+	}
+	at := m.memberships[0]
+	for _, later := range m.memberships {
+		if later.index <= in.Index {
+			at = later
+		}
+	}
+	m.snapshot = &storer.Snapshot{
+		Index: in.Index, Term: term, MembershipIndex: at.index, Membership: at.membership, Data: in.Data,
+	}
+	before := m.log.base()
+	if keep := uint64(m.settings.KeepEntries); in.Index > keep {
+		before = max(before, in.Index-keep)
+	}
+	m.log.compact(before)
+	for len(m.memberships) > 1 && m.memberships[1].index <= in.Index {
+		m.memberships = m.memberships[1:]
+	}
+	m.emit(SaveSnapshot{Snapshot: m.snapshot, CompactBefore: before})
+}
+
+// sendSnapshot sends the next part. The snapshot stays the same until the
+// replica has all of it.
+func (m *Machine) sendSnapshot(to storer.Member, p *progress) {
+	if p.sending == nil {
+		p.sending, p.offset = m.snapshot, 0
+		m.counts.SnapshotsSent++
+	}
+	s := p.sending
+	end := min(p.offset+uint64(m.settings.MaxAppendBytes), uint64(len(s.Data)))
+	header := *s
+	header.Data = nil
+	m.sendTo(to, &SnapshotRequest{
+		Term: m.term, Round: m.leading.round, SentAt: m.clock(), Header: header,
+		Offset: p.offset, Total: uint64(len(s.Data)), Data: s.Data[p.offset:end],
+	})
+}
+
+func (m *Machine) handleSnapshotRequest(from storer.Identity, req *SnapshotRequest) {
+	resp := &SnapshotResponse{Echo: m.echo(req.Round, req.SentAt), Index: req.Header.Index}
+	if m.followLeader(from, req.Term) {
+		resp.Offset, resp.Done = m.acceptSnapshot(from, req)
+	}
+	resp.Term = m.term
+	m.send(from, resp)
+}
+
+// acceptSnapshot returns the number of bytes received, and whether this replica
+// has the state of the snapshot.
+func (m *Machine) acceptSnapshot(from storer.Identity, req *SnapshotRequest) (uint64, bool) {
+	if req.Header.Index <= m.commit {
+		return 0, true
+	}
+	if term, ok := m.log.term(req.Header.Index); ok && term == req.Header.Term {
+		m.setCommit(req.Header.Index)
+		return 0, true
+	}
+	in := &m.incoming
+	if in.from != from || in.term != req.Term || in.index != req.Header.Index {
+		*in = incomingSnapshot{from: from, term: req.Term, index: req.Header.Index}
+	}
+	if req.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, req.Data...)
+	}
+	if uint64(len(in.data)) < req.Total {
+		return uint64(len(in.data)), false
+	}
+	snapshot := req.Header
+	snapshot.Data = in.data
+	m.install(&snapshot)
+	return req.Total, true
+}
+
+func (m *Machine) install(snapshot *storer.Snapshot) {
+	m.incoming = incomingSnapshot{}
+	m.snapshot, m.snapshotDue = snapshot, false
+	m.log.reset(snapshot.Index, snapshot.Term)
+	m.memberships = []membershipAt{{index: snapshot.MembershipIndex, membership: snapshot.Membership}}
+	m.commit = snapshot.Index
+	m.counts.SnapshotsInstalled++
+	m.emit(SaveSnapshot{Snapshot: snapshot, Reset: true})
+	m.emit(Restore{Snapshot: snapshot})
+}
+
+func (m *Machine) handleSnapshotResponse(from storer.Identity, resp *SnapshotResponse) {
+	p := m.noteEcho(from, resp.Term, resp.Echo)
+	if p == nil || p.sending == nil || resp.Index != p.sending.Index {
+		return
+	}
+	moved := resp.Offset > p.offset
+	p.offset = min(resp.Offset, uint64(len(p.sending.Data)))
+	if resp.Done {
+		p.sending, moved = nil, true
+		p.match = max(p.match, resp.Index)
+		p.next = p.match + 1
+		m.advanceCommit()
+	}
+	m.confirmReads()
+	if member, ok := m.membership().Get(from); ok && moved && m.role == RoleLeader {
+		m.sendAppend(member, p)
+	}
+}
