--- a/shared/modules/buffer/ring.go
+++ b/shared/modules/buffer/ring.go
@@ -8,6 +8,7 @@
 type Ring[T any] struct {
 	mu       sync.Mutex
 	nonEmpty sync.Cond
+	nonFull  sync.Cond
 	items    []T
 	head     int
 	count    int
@@ -22,6 +23,7 @@
 	}
 	r := &Ring[T]{items: make([]T, capacity)}
 	r.nonEmpty.L = &r.mu
+	r.nonFull.L = &r.mu
 	return r
 }
 
@@ -33,9 +35,22 @@
 	if r.closed || r.count == len(r.items) {
 		return false
 	}
-	r.items[(r.head+r.count)%len(r.items)] = item
-	r.count++
-	r.nonEmpty.Signal()
+	r.putLocked(item)
+	return true
+}
+
+// Push appends item and waits for room if the ring is full. It returns false,
+// and keeps nothing, once the ring is closed.
+func (r *Ring[T]) Push(item T) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.count == len(r.items) && !r.closed {
+		r.nonFull.Wait()
+	}
+	if r.closed {
+		return false
+	}
+	r.putLocked(item)
 	return true
 }
 
@@ -73,13 +88,20 @@
 	return r.count
 }
 
-// Close refuses further items and wakes all waiting consumers. Queued items can
+// Close refuses further items and wakes all waiting producers and consumers. Queued items can
 // still be popped.
 func (r *Ring[T]) Close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
 	r.nonEmpty.Broadcast()
+	r.nonFull.Broadcast()
+}
+
+func (r *Ring[T]) putLocked(item T) {
+	r.items[(r.head+r.count)%len(r.items)] = item
+	r.count++
+	r.nonEmpty.Signal()
 }
 
 func (r *Ring[T]) takeLocked() (T, bool) {
@@ -91,5 +113,6 @@
 	r.items[r.head] = zero
 	r.head = (r.head + 1) % len(r.items)
 	r.count--
+	r.nonFull.Signal()
 	return item, true
 }
--- a/shared/modules/buffer/ring_test.go
+++ b/shared/modules/buffer/ring_test.go
@@ -30,3 +30,23 @@
 	require.False(t, ok)
 	require.False(t, ring.TryPush(8))
 }
+
+// Guards against a producer that waits for ever, or is let in twice, when room
+// appears or the ring closes.
+func TestRingPushWaits(t *testing.T) {
+	t.Parallel()
+	ring := buffer.NewRing[int](1)
+	require.True(t, ring.Push(0))
+	results := make(chan bool)
+	go func() {
+		results <- ring.Push(1)
+		results <- ring.Push(2)
+	}()
+	item, ok := ring.Pop()
+	require.True(t, ok)
+	require.Equal(t, 0, item)
+	require.True(t, <-results)
+	ring.Close()
+	require.False(t, <-results)
+	require.Equal(t, 1, ring.Len())
+}
