Add the driver that runs a control replica

Change: package driver joins the state machine, the store and gRPC (redwingledge.control.Replica/Deliver) with one goroutine for each duty and bounded rings, and offers Proposer and Remover. A failed write stops the replica. Connections are given up after a failed call, as a connection may stay silent for ever and gRPC itself waits up to two minutes. Checked: go test -race in control; three replicas over loopback survive restarts, a lost disk, a full disk and an old image.

--- a/control/models/storer/store.go
+++ b/control/models/storer/store.go
@@ -214,13 +214,14 @@
 		*stored = logRange{}
 	}
 	for _, e := range batch.Entries {
-		if stored.Last == 0 {
+		switch {
+		case stored.Last == 0:
 			stored.First = e.Index
-		} else if e.Index <= stored.Last {
+		case e.Index <= stored.Last:
 			if err := deleteRange(log, e.Index, stored.Last); err != nil {
 				return err
 			}
-		} else if e.Index != stored.Last+1 {
+		case e.Index != stored.Last+1:
 			return fmt.Errorf("entry %d does not follow entry %d", e.Index, stored.Last)
 		}
 		if err := putRecord(log, indexKey(e.Index), e); err != nil {
--- /dev/null
+++ b/control/services/driver/delivering.go
@@ -0,0 +1,113 @@
+package driver
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+const (
+	serviceName   = "redwingledge.control.Replica"
+	deliverMethod = "/" + serviceName + "/Deliver"
+)
+
+// Delivery is the request of Deliver.
+type Delivery struct {
+	_         struct{} `cbor:",toarray"`
+	Envelopes []replicator.Envelope
+}
+
+// Receipt is the response of Deliver.
+type Receipt struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// Service returns the gRPC service redwingledge.control.Replica.
+func (d *Driver) Service() *transporter.Service {
+	s := transporter.NewService(serviceName)
+	transporter.Handle(s, "Deliver", d.deliver)
+	return s
+}
+
+func (d *Driver) deliver(ctx context.Context, delivery *Delivery) (*Receipt, error) {
+	if d.options.TLS != nil && !d.isReplica(transporter.PeerCommonName(ctx)) {
+		d.metrics.callersRefused.Add(1)
+		return nil, status.Error(codes.PermissionDenied, errWrongCaller.Error())
+	}
+	for _, env := range delivery.Envelopes {
+		if !d.inputs.TryPush(replicator.Receive{Envelope: env}) {
+			d.metrics.receivesDropped.Add(1)
+			return nil, status.Error(codes.ResourceExhausted, "the replica is busy or stopped")
+		}
+	}
+	d.metrics.messagesReceived.Add(int64(len(delivery.Envelopes)))
+	return &Receipt{}, nil
+}
+
+// isReplica reports whether name is that of a replica in the settings or the
+// membership.
+func (d *Driver) isReplica(name string) bool {
+	if slices.ContainsFunc(d.options.Settings.Peers, func(p replicator.Peer) bool { return p.Name == name }) {
+		return true
+	}
+	for _, member := range d.Status().Membership.Members {
+		if member.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// send queues a message. A full queue drops it, as the network may.
+func (d *Driver) send(o replicator.Send) {
+	address := o.To.Address
+	if !address.IsValid() {
+		return
+	}
+	ring, ok := d.senders[address]
+	if !ok {
+		ring = buffer.NewRing[replicator.Envelope](sendCapacity)
+		d.senders[address] = ring
+		d.wg.Add(1)
+		go d.runSender(address, ring)
+	}
+	if !ring.TryPush(o.Envelope) {
+		d.metrics.sendsDropped.Add(1)
+	}
+}
+
+// runSender delivers the messages to one address.
+func (d *Driver) runSender(address netip.AddrPort, ring *buffer.Ring[replicator.Envelope]) {
+	defer d.wg.Done()
+	batch := make([]replicator.Envelope, sendBatch)
+	for {
+		n := ring.PopBatch(batch)
+		if n == 0 || d.ctx.Err() != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(d.ctx, d.options.Settings.ElectionTimeout)
+		_, err := transporter.Call[Delivery, Receipt](ctx, d.pool, address, deliverMethod, &Delivery{Envelopes: slices.Clone(batch[:n])})
+		cancel()
+		if err != nil {
+			d.metrics.sendErrors.Add(1)
+			// A connection may be silent for ever while new ones work, and gRPC
+			// waits up to two minutes before it connects again by itself.
+			d.pool.Forget(address)
+			continue
+		}
+		d.metrics.messagesSent.Add(int64(n))
+	}
+}
+
+func (d *Driver) closeSenders() {
+	for _, ring := range d.senders {
+		ring.Close()
+	}
+}
--- /dev/null
+++ b/control/services/driver/driver_test.go
@@ -0,0 +1,280 @@
+package driver
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// counter is an Applier that adds the sizes of commands.
+type counter struct {
+	mu    sync.Mutex
+	total uint64
+}
+
+func (c *counter) Apply(_ uint64, command []byte) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total += uint64(len(command))
+	return binary.BigEndian.AppendUint64(nil, c.total), nil
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.BigEndian.AppendUint64(nil, c.total), nil
+}
+
+func (c *counter) Restore(snapshot []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total = binary.BigEndian.Uint64(snapshot)
+	return nil
+}
+
+func (c *counter) get() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total
+}
+
+// replica is a Driver with its server and folder.
+type replica struct {
+	*Driver
+	folder  string
+	applier *counter
+	store   *storer.Store
+	server  *transporter.Server
+	stopped bool
+}
+
+func (r *replica) stop() {
+	if !r.stopped {
+		r.stopped = true
+		r.server.Stop()
+		r.Stop()
+		_ = r.store.Close()
+	}
+}
+
+func settingsOf(peers []replicator.Peer, i int) replicator.Settings {
+	s := replicator.DefaultSettings()
+	s.Name, s.Address, s.Peers, s.Bootstrap = peers[i].Name, peers[i].Address, peers, true
+	s.Heartbeat, s.ElectionTimeout, s.TrustDiskAfter = 20*time.Millisecond, 300*time.Millisecond, 2*time.Second
+	s.SnapshotEntries, s.KeepEntries = 50, 10
+	return s
+}
+
+func start(t testing.TB, settings replicator.Settings, storage storer.Settings) *replica {
+	t.Helper()
+	store, state, err := storer.Open(storage)
+	require.NoError(t, err)
+	r := &replica{folder: storage.Folder, applier: new(counter), store: store}
+	r.Driver, err = New(Options{
+		Settings: settings, Store: store, State: state, Applier: r.applier,
+		Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(),
+	})
+	require.NoError(t, err)
+	r.server, err = transporter.Listen(settings.Address, nil, r.Service())
+	require.NoError(t, err)
+	go func() { _ = r.server.Serve() }()
+	r.Start()
+	t.Cleanup(r.stop)
+	return r
+}
+
+func newPeers(t testing.TB, n int) []replicator.Peer {
+	t.Helper()
+	peers := make([]replicator.Peer, n)
+	for i := range peers {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		peers[i] = replicator.Peer{Name: fmt.Sprint("r", i), Address: netip.MustParseAddrPort(listener.Addr().String())}
+		defer func() { _ = listener.Close() }()
+	}
+	return peers
+}
+
+func startAll(t testing.TB, n int) ([]replicator.Peer, []*replica) {
+	t.Helper()
+	peers := newPeers(t, n)
+	replicas := make([]*replica, n)
+	for i := range peers {
+		replicas[i] = start(t, settingsOf(peers, i), storer.Settings{Folder: t.TempDir()})
+	}
+	awaitVoters(t, replicas, n)
+	return peers, replicas
+}
+
+func awaitVoters(t testing.TB, replicas []*replica, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, r := range replicas {
+			if s := r.Status(); s.Membership.Voters() != n || !s.Verified || s.Leader == "" || !s.Membership.IsVoter(s.ID) {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
+// propose retries until a replica commits the command.
+func propose(t testing.TB, replicas []*replica, command []byte) uint64 {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, r := range replicas {
+			result, err := r.Propose(t.Context(), command)
+			if err == nil {
+				return binary.BigEndian.Uint64(result)
+			}
+			require.False(t, replicator.IsErrOutcomeUnknown(err), "%v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Fail(t, "no replica commits")
+	return 0
+}
+
+func leaderOf(replicas []*replica) int {
+	for i, r := range replicas {
+		if !r.stopped && r.Status().Role == replicator.RoleLeader {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against state that is lost when replicas restart, lose a disk, or die
+// right after a repair, over real sockets and files.
+func TestReplicasSurviveFaults(t *testing.T) {
+	t.Parallel()
+	peers, replicas := startAll(t, 3)
+	total := uint64(0)
+	add := func(n int) {
+		for range n {
+			total += 10
+			require.Equal(t, total, propose(t, replicas, make([]byte, 10)))
+		}
+	}
+	add(120)
+	restart := func(i int, folder string) {
+		replicas[i].stop()
+		replicas[i] = start(t, settingsOf(peers, i), storer.Settings{Folder: folder})
+	}
+	for i := range replicas {
+		restart(i, replicas[i].folder)
+		awaitVoters(t, replicas, 3)
+		add(5)
+	}
+	lost := replicas[2].Status().ID
+	restart(2, t.TempDir())
+	awaitVoters(t, replicas, 3)
+	require.NotEqual(t, lost, replicas[2].Status().ID)
+	replicas[0].stop()
+	add(5)
+	replicas[0] = start(t, settingsOf(peers, 0), storer.Settings{Folder: replicas[0].folder})
+	awaitVoters(t, replicas, 3)
+	for _, r := range replicas {
+		require.Eventually(t, func() bool { return r.applier.get() == total }, 10*time.Second, 10*time.Millisecond)
+	}
+	lead := leaderOf(replicas)
+	require.NoError(t, replicas[lead].ReadBarrier(t.Context()))
+	follower := (lead + 1) % 3
+	_, err := replicas[follower].Propose(t.Context(), nil)
+	require.Equal(t, replicator.ErrNotLeader{Leader: peers[lead].Name, Address: peers[lead].Address}, err)
+}
+
+// Guards against a replica that acknowledges alone, and against calls that do not
+// end with their context.
+func TestAloneWithoutMajority(t *testing.T) {
+	t.Parallel()
+	_, replicas := startAll(t, 3)
+	lead := leaderOf(replicas)
+	for i, r := range replicas {
+		if i != lead {
+			r.stop()
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := replicas[lead].Propose(ctx, []byte("x"))
+	require.True(t, replicator.IsErrOutcomeUnknown(err), "%v", err)
+	require.Eventually(t, func() bool {
+		_, err := replicas[lead].Propose(t.Context(), []byte("x"))
+		return replicator.IsErrNoQuorum(err)
+	}, 5*time.Second, 20*time.Millisecond)
+	require.True(t, replicator.IsErrNoQuorum(replicas[lead].ReadBarrier(t.Context())))
+	require.Zero(t, replicas[lead].applier.get())
+}
+
+// Guards against a replica that still acknowledges when its disk is full, and
+// against a failure that loses acknowledged commands.
+func TestFullDiskStopsReplica(t *testing.T) {
+	t.Parallel()
+	peers := newPeers(t, 1)
+	settings := settingsOf(peers, 0)
+	settings.SnapshotEntries = 1_000_000
+	r := start(t, settings, storer.Settings{Folder: t.TempDir(), MaxSize: 2 << 20})
+	acknowledged := propose(t, []*replica{r}, make([]byte, 100_000))
+	var err error
+	for err == nil {
+		if _, err = r.Propose(t.Context(), make([]byte, 100_000)); err == nil {
+			acknowledged += 100_000
+		}
+	}
+	require.True(t, replicator.IsErrOutcomeUnknown(err), "%v", err)
+	require.True(t, storer.IsErrDiskFull(r.Status().Failed), "%v", r.Status().Failed)
+	_, err = r.Propose(t.Context(), []byte("x"))
+	require.True(t, replicator.IsErrNoQuorum(err), "%v", err)
+	r.stop()
+
+	r = start(t, settings, storer.Settings{Folder: r.folder})
+	require.Equal(t, acknowledged+1, propose(t, []*replica{r}, []byte("x")))
+}
+
+// Guards against a replica that counts or votes with an old image of its disk.
+func TestOldImageIsNotTrusted(t *testing.T) {
+	t.Parallel()
+	peers, replicas := startAll(t, 3)
+	replicas[2].stop()
+	image, err := os.ReadFile(filepath.Join(replicas[2].folder, "control.db"))
+	require.NoError(t, err)
+	replicas[2] = start(t, settingsOf(peers, 2), storer.Settings{Folder: replicas[2].folder})
+	awaitVoters(t, replicas, 3)
+	replicas[1].stop()
+	total := propose(t, []*replica{replicas[0], replicas[2]}, make([]byte, 7))
+
+	// The only copies of the command are on replica 0, which stops, and on the
+	// disk that goes back. Without it, the other two must not go on.
+	replicas[0].stop()
+	replicas[2].stop()
+	require.NoError(t, os.WriteFile(filepath.Join(replicas[2].folder, "control.db"), image, 0o600))
+	strict := settingsOf(peers, 2)
+	strict.TrustDiskAfter = 0
+	replicas[2] = start(t, strict, storer.Settings{Folder: replicas[2].folder})
+	replicas[1] = start(t, settingsOf(peers, 1), storer.Settings{Folder: replicas[1].folder})
+	time.Sleep(3 * time.Second)
+	require.False(t, replicas[2].Status().Verified)
+	require.Equal(t, -1, leaderOf(replicas))
+
+	replicas[0] = start(t, settingsOf(peers, 0), storer.Settings{Folder: replicas[0].folder})
+	awaitVoters(t, replicas, 3)
+	require.Equal(t, total+1, propose(t, replicas, []byte("x")))
+}
--- /dev/null
+++ b/control/services/driver/proposing.go
@@ -0,0 +1,149 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+)
+
+// ErrCommandTooLarge reports a command that exceeds the limit. It has no effect.
+type ErrCommandTooLarge struct {
+	// Size and Limit are in bytes.
+	Size, Limit int
+}
+
+// Error returns the message of the error.
+func (e ErrCommandTooLarge) Error() string {
+	return fmt.Sprintf("the command has %d bytes; at most %d are allowed", e.Size, e.Limit)
+}
+
+// IsErrCommandTooLarge reports whether err is an ErrCommandTooLarge.
+func IsErrCommandTooLarge(err error) bool {
+	var target ErrCommandTooLarge
+	return errors.As(err, &target)
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+// waiters are the calls that wait for an outcome. It is safe for concurrent use.
+type waiters struct {
+	mu      *sync.Mutex
+	byID    map[uint64]chan outcome
+	byIndex map[uint64]accepted
+}
+
+// accepted is a proposal at a position of the log.
+type accepted struct {
+	id   uint64
+	term uint64
+}
+
+func newWaiters() waiters {
+	return waiters{mu: new(sync.Mutex), byID: make(map[uint64]chan outcome), byIndex: make(map[uint64]accepted)}
+}
+
+func (w waiters) add(id uint64) <-chan outcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := make(chan outcome, 1)
+	w.byID[id] = c
+	return c
+}
+
+func (w waiters) drop(id uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byID, id)
+}
+
+func (w waiters) accept(o replicator.Accepted) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byIndex[o.Index] = accepted{id: o.ID, term: o.Term}
+}
+
+func (w waiters) finish(id uint64, o outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c, ok := w.byID[id]; ok {
+		c <- o
+		delete(w.byID, id)
+	}
+}
+
+// applied completes the proposal at index, if it is the one of that term.
+func (w waiters) applied(index, term uint64, o outcome) {
+	w.mu.Lock()
+	a, ok := w.byIndex[index]
+	delete(w.byIndex, index)
+	w.mu.Unlock()
+	if ok && a.term == term {
+		w.finish(a.id, o)
+	}
+}
+
+// Propose commits a command and returns its result; see replicator.Proposer.
+// ErrCommandTooLarge is another error that it returns.
+func (d *Driver) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > maxCommandBytes {
+		return nil, ErrCommandTooLarge{Size: len(command), Limit: maxCommandBytes}
+	}
+	o := d.await(ctx, func(id uint64) replicator.Input { return replicator.Propose{ID: id, Command: command} })
+	return o.result, o.err
+}
+
+// RemoveReplica removes a replica; see replicator.Remover.
+func (d *Driver) RemoveReplica(ctx context.Context, name string) error {
+	return d.await(ctx, func(id uint64) replicator.Input { return replicator.Remove{ID: id, Name: name} }).err
+}
+
+// ReadBarrier waits for all that is committed; see replicator.Proposer.
+func (d *Driver) ReadBarrier(ctx context.Context) error {
+	err := d.await(ctx, func(id uint64) replicator.Input { return replicator.Read{ID: id} }).err
+	var unknown replicator.ErrOutcomeUnknown
+	if errors.As(err, &unknown) {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("wait for a majority: %w", err)
+		}
+		return replicator.ErrNoQuorum(unknown)
+	}
+	return err
+}
+
+// await hands an input to the Machine and waits for its outcome.
+func (d *Driver) await(ctx context.Context, newInput func(id uint64) replicator.Input) outcome {
+	if err := ctx.Err(); err != nil {
+		return outcome{err: err}
+	}
+	id := d.nextID.Add(1)
+	c := d.waiting.add(id)
+	if !d.inputs.TryPush(newInput(id)) {
+		d.waiting.drop(id)
+		if d.isStopped() {
+			return outcome{err: d.errStopped()}
+		}
+		return outcome{err: replicator.ErrOverloaded{Waiting: inputCapacity}}
+	}
+	select {
+	case o := <-c:
+		return o
+	case <-ctx.Done():
+		d.waiting.drop(id)
+		return outcome{err: replicator.ErrOutcomeUnknown{Reason: ctx.Err().Error()}}
+	case <-d.ctx.Done():
+		d.waiting.drop(id)
+		return outcome{err: replicator.ErrOutcomeUnknown{Reason: "this replica stops"}}
+	}
+}
+
+func (d *Driver) isStopped() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopped || d.failed != nil
+}
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -271,15 +271,23 @@
 func (m *Machine) membershipIndex() uint64 { return m.memberships[len(m.memberships)-1].index }
 
 func (m *Machine) noteMembership(e storer.Entry) error {
-	if e.Kind != storer.EntryMembership || e.Index <= m.membershipIndex() {
-		return nil
+	membership, err := decodeMembership(e)
+	if err == nil && membership != nil && e.Index > m.membershipIndex() {
+		m.memberships = append(m.memberships, membershipAt{index: e.Index, membership: *membership})
+	}
+	return err
+}
+
+// decodeMembership returns the membership of an entry, or nil if it has none.
+func decodeMembership(e storer.Entry) (*storer.Membership, error) {
+	if e.Kind != storer.EntryMembership {
+		return nil, nil
 	}
 	var membership storer.Membership
 	if err := cbor.Unmarshal(e.Data, &membership); err != nil {
-		return fmt.Errorf("decode the membership of entry %d: %w", e.Index, err)
+		return nil, fmt.Errorf("decode the membership of entry %d: %w", e.Index, err)
 	}
-	m.memberships = append(m.memberships, membershipAt{index: e.Index, membership: membership})
-	return nil
+	return &membership, nil
 }
 
 // appendEntries adds entries to the log, and drops those that they replace.
@@ -290,7 +298,7 @@
 	m.log.add(entries)
 	for _, e := range entries {
 		if err := m.noteMembership(e); err != nil {
-			panic(err) // only this program encodes memberships
+			panic(err) // received entries were checked before
 		}
 	}
 	m.emit(SaveEntries{Entries: entries})
