--- /dev/null
+++ b/demo/services/dialer/dialer.go
@@ -0,0 +1,178 @@
+// Package dialer is a stand-in for callers: it opens flows, keeps them busy, and
+// checks that each is answered by one backend server of its own service.
+package dialer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/demo/modules/framer"
+	"github.com/redwingledge/redwingledge/demo/services/responder"
+)
+
+// Network carries the packets of a caller.
+type Network interface {
+	Send(segment framer.Segment) error
+}
+
+const (
+	// retransmitAfter is the wait before a packet is sent again.
+	retransmitAfter = 200 * time.Millisecond
+	// answerQueue bounds the packets that wait for a flow.
+	answerQueue = 64
+)
+
+// Caller has one IP address and any number of flows, told apart by their port.
+type Caller struct {
+	network Network
+	mu      sync.Mutex
+	flows   map[netip.AddrPort]*Flow
+}
+
+// NewCaller returns a caller that sends through network.
+func NewCaller(network Network) *Caller {
+	return &Caller{network: network, flows: make(map[netip.AddrPort]*Flow)}
+}
+
+// Receive passes a packet to its flow.
+func (c *Caller) Receive(segment framer.Segment) {
+	c.mu.Lock()
+	flow := c.flows[segment.Destination]
+	c.mu.Unlock()
+	if flow == nil {
+		return
+	}
+	select {
+	case flow.answers <- segment:
+	default:
+	}
+}
+
+// Flow is one flow of a caller. Its methods must not be called concurrently.
+type Flow struct {
+	caller        *Caller
+	service       string
+	local, remote netip.AddrPort
+	isTCP         bool
+	answers       chan framer.Segment
+	sequence      uint32
+	acknowledged  uint32
+	requests      int
+	host          string
+}
+
+// ErrFlowBroken reports a flow that was reset, moved to another backend server,
+// or was answered by another service.
+type ErrFlowBroken struct {
+	Local, Remote netip.AddrPort
+	Reason        string
+}
+
+// Error returns the message of the error.
+func (e ErrFlowBroken) Error() string {
+	return fmt.Sprintf("flow from %s to %s is broken: %s", e.Local, e.Remote, e.Reason)
+}
+
+// Dial opens a flow. For TCP it sends SYN until the answer arrives or ctx ends.
+func (c *Caller) Dial(ctx context.Context, isTCP bool, local, remote netip.AddrPort, service string) (*Flow, error) {
+	flow := &Flow{caller: c, service: service, local: local, remote: remote, isTCP: isTCP, answers: make(chan framer.Segment, answerQueue), sequence: 1}
+	c.mu.Lock()
+	c.flows[local] = flow
+	c.mu.Unlock()
+	if !isTCP {
+		return flow, nil
+	}
+	segment := flow.segment()
+	segment.SYN = true
+	if err := flow.exchange(ctx, segment, func(answer framer.Segment) bool { return answer.SYN && answer.ACK }); err != nil {
+		return nil, fmt.Errorf("open the flow: %w", err)
+	}
+	flow.sequence++
+	return flow, nil
+}
+
+// Host returns the backend server that answers the flow, or "" before the first
+// answer.
+func (f *Flow) Host() string { return f.host }
+
+// Request sends a payload and waits for its answer. It returns ErrFlowBroken if
+// the flow was reset or answered by another backend server or service.
+func (f *Flow) Request(ctx context.Context) error {
+	f.requests++
+	request := fmt.Sprintf("%s#%d", f.local, f.requests)
+	segment := f.segment()
+	segment.Payload = []byte(request)
+	var answer responder.Answer
+	err := f.exchange(ctx, segment, func(received framer.Segment) bool {
+		return json.Unmarshal(received.Payload, &answer) == nil && answer.Request == request
+	})
+	if err != nil {
+		return err
+	}
+	f.sequence += uint32(len(request))
+	if answer.Service != f.service {
+		return f.broken("answered by service " + answer.Service)
+	}
+	if f.host != "" && answer.Host != f.host {
+		return f.broken("moved from " + f.host + " to " + answer.Host)
+	}
+	f.host = answer.Host
+	return nil
+}
+
+// Close ends the flow with a FIN or, for UDP, without a packet.
+func (f *Flow) Close(ctx context.Context) error {
+	defer func() {
+		f.caller.mu.Lock()
+		delete(f.caller.flows, f.local)
+		f.caller.mu.Unlock()
+	}()
+	if !f.isTCP {
+		return nil
+	}
+	segment := f.segment()
+	segment.FIN = true
+	return f.exchange(ctx, segment, func(answer framer.Segment) bool { return answer.FIN })
+}
+
+func (f *Flow) segment() framer.Segment {
+	return framer.Segment{IsTCP: f.isTCP, Source: f.local, Destination: f.remote, ACK: f.isTCP && f.sequence > 1, Sequence: f.sequence, Acknowledge: f.acknowledged}
+}
+
+// exchange sends a segment until an answer is accepted.
+func (f *Flow) exchange(ctx context.Context, segment framer.Segment, accept func(framer.Segment) bool) error {
+	retransmit := time.NewTicker(retransmitAfter)
+	defer retransmit.Stop()
+	if err := f.caller.network.Send(segment); err != nil {
+		return err
+	}
+	for {
+		select {
+		case answer := <-f.answers:
+			if answer.Source != f.remote {
+				return f.broken("answered from " + answer.Source.String())
+			}
+			if answer.RST {
+				return f.broken("reset")
+			}
+			if accept(answer) {
+				f.acknowledged = answer.Sequence + uint32(len(answer.Payload))
+				return nil
+			}
+		case <-retransmit.C:
+			if err := f.caller.network.Send(segment); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return fmt.Errorf("flow from %s to %s: no answer: %w", f.local, f.remote, ctx.Err())
+		}
+	}
+}
+
+func (f *Flow) broken(reason string) error {
+	return ErrFlowBroken{Local: f.local, Remote: f.remote, Reason: reason}
+}
