--- a/entry/models/messenger/membership.go
+++ b/entry/models/messenger/membership.go
@@ -1,9 +1,82 @@
 package messenger
 
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// Kinds of the membership messages, 1 to 49.
+const (
+	KindProbe         Kind = 1
+	KindProbeAck      Kind = 2
+	KindIndirectProbe Kind = 3
+	KindRumours       Kind = 4
+	KindJoin          Kind = 5
+	KindSyncRoots     Kind = 6
+	KindSyncBuckets   Kind = 7
+	KindSyncPull      Kind = 8
+	KindSyncItems     Kind = 9
+	KindRenewalBatch  Kind = 10
+	KindSummary       Kind = 11
+
+	lastMembershipKind Kind = 49
+)
+
+// MemberState is what the entries know of one another. Of two states of one
+// incarnation the greater wins.
+type MemberState uint8
+
+// States of a member.
+const (
+	MemberAlive   MemberState = 0
+	MemberSuspect MemberState = 1
+	MemberLeaving MemberState = 2
+	MemberDead    MemberState = 3
+)
+
+// String returns the name of the state.
+func (s MemberState) String() string {
+	switch s {
+	case MemberAlive:
+		return "alive"
+	case MemberSuspect:
+		return "suspect"
+	case MemberLeaving:
+		return "leaving"
+	case MemberDead:
+		return "dead"
+	default:
+		return fmt.Sprintf("state %d", uint8(s))
+	}
+}
+
+// Member is an entry and its state. Rumours of states other than alive carry
+// only name, incarnation and state.
+type Member struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+	State       MemberState
+	DataCentre  string
+	Region      string
+	// Address is the gRPC address.
+	Address netip.AddrPort
+	// PacketAddress is the UDP address of packets relayed between entries.
+	PacketAddress netip.AddrPort
+}
+
 // Probe asks a peer whether it is alive.
 type Probe struct {
 	sealed   `cbor:"-"`
 	Sequence uint64 `cbor:"1,keyasint"`
+	// Address is that of the sender, so that a peer that does not know the
+	// sender can answer.
+	Address netip.AddrPort `cbor:"2,keyasint"`
 }
 
 // Kind returns KindProbe.
@@ -17,3 +90,253 @@
 
 // Kind returns KindProbeAck.
 func (ProbeAck) Kind() Kind { return KindProbeAck }
+
+// IndirectProbe asks a peer to probe another one for the sender.
+type IndirectProbe struct {
+	sealed   `cbor:"-"`
+	Sequence uint64         `cbor:"1,keyasint"`
+	Target   string         `cbor:"2,keyasint"`
+	Address  netip.AddrPort `cbor:"3,keyasint"`
+}
+
+// Kind returns KindIndirectProbe.
+func (IndirectProbe) Kind() Kind { return KindIndirectProbe }
+
+// Rumours carries the configuration version that the sender holds and changes
+// of members and records.
+type Rumours struct {
+	sealed  `cbor:"-"`
+	Version uint64   `cbor:"1,keyasint,omitempty"`
+	Members []Member `cbor:"2,keyasint,omitempty"`
+	Records []Record `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind returns KindRumours.
+func (Rumours) Kind() Kind { return KindRumours }
+
+// Join asks a peer for its whole state and tells it of the sender.
+type Join struct {
+	sealed `cbor:"-"`
+	Self   Member `cbor:"1,keyasint"`
+}
+
+// Kind returns KindJoin.
+func (Join) Kind() Kind { return KindJoin }
+
+// SyncRoots starts an exchange: it carries the hashes of the sender's state.
+type SyncRoots struct {
+	sealed  `cbor:"-"`
+	Self    Member `cbor:"1,keyasint"`
+	Members uint64 `cbor:"2,keyasint"`
+	Records uint64 `cbor:"3,keyasint"`
+}
+
+// Kind returns KindSyncRoots.
+func (SyncRoots) Kind() Kind { return KindSyncRoots }
+
+// SyncBuckets answers SyncRoots that differ with the hashes of all buckets.
+type SyncBuckets struct {
+	sealed  `cbor:"-"`
+	Self    Member   `cbor:"1,keyasint"`
+	Members []uint64 `cbor:"2,keyasint"`
+	Records []uint64 `cbor:"3,keyasint"`
+}
+
+// Kind returns KindSyncBuckets.
+func (SyncBuckets) Kind() Kind { return KindSyncBuckets }
+
+// ItemDigest tells which version of a member or record a peer holds.
+type ItemDigest struct {
+	_ struct{} `cbor:",toarray"`
+	// Key is the hash of the name.
+	Key uint64
+	// Value is the hash of the name and the version.
+	Value uint64
+}
+
+// SyncPull asks for the items of some buckets that differ from the digests.
+type SyncPull struct {
+	sealed        `cbor:"-"`
+	MemberBuckets []uint8      `cbor:"1,keyasint,omitempty"`
+	RecordBuckets []uint8      `cbor:"2,keyasint,omitempty"`
+	Members       []ItemDigest `cbor:"3,keyasint,omitempty"`
+	Records       []ItemDigest `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind returns KindSyncPull.
+func (SyncPull) Kind() Kind { return KindSyncPull }
+
+// SyncItems carries members and records in answer to Join or SyncPull.
+type SyncItems struct {
+	sealed  `cbor:"-"`
+	Members []Member `cbor:"1,keyasint,omitempty"`
+	Records []Record `cbor:"2,keyasint,omitempty"`
+	// WantedMembers and WantedRecords are keys of items that the sender asks
+	// for in turn.
+	WantedMembers []uint64 `cbor:"3,keyasint,omitempty"`
+	WantedRecords []uint64 `cbor:"4,keyasint,omitempty"`
+	// JoinDone is set on the last message that answers a Join.
+	JoinDone bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind returns KindSyncItems.
+func (SyncItems) Kind() Kind { return KindSyncItems }
+
+// RenewalBatch forwards announcements of backend servers to the holder of their
+// records.
+type RenewalBatch struct {
+	sealed        `cbor:"-"`
+	Announcements []Announcement `cbor:"1,keyasint"`
+}
+
+// Kind returns KindRenewalBatch.
+func (RenewalBatch) Kind() Kind { return KindRenewalBatch }
+
+// Summary tells another region of a data centre and the version held there.
+type Summary struct {
+	sealed       `cbor:"-"`
+	Region       string         `cbor:"1,keyasint"`
+	DataCentre   string         `cbor:"2,keyasint"`
+	Version      uint64         `cbor:"3,keyasint"`
+	Entries      uint32         `cbor:"4,keyasint"`
+	ReadyServers uint32         `cbor:"5,keyasint"`
+	Address      netip.AddrPort `cbor:"6,keyasint"`
+}
+
+// Kind returns KindSummary.
+func (Summary) Kind() Kind { return KindSummary }
+
+// Record is an announcer.Record with a compact encoding.
+type Record struct {
+	announcer.Record
+	// Age is how long ago the record lapsed, 0 unless it lapsed.
+	Age time.Duration
+}
+
+// Announcement is an announcer.Announcement with a compact encoding.
+type Announcement struct {
+	announcer.Announcement
+}
+
+// announcedStates gives each state its number on the wire, which is the index.
+var announcedStates = []announcer.State{
+	announcer.StateStarting, announcer.StateReady, announcer.StateDraining, announcer.StateLeaving,
+}
+
+type wireAnnouncement struct {
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Host        string
+	Address     netip.AddrPort
+	DataCentre  string
+	Slots       int
+	Connections int
+	Incarnation uint64
+	Sequence    uint64
+	State       uint8
+}
+
+type wireRecord struct {
+	_            struct{} `cbor:",toarray"`
+	Announcement wireAnnouncement
+	Holder       string
+	Epoch        uint64
+	Lapsed       bool
+	RampStep     uint8
+	AgeSeconds   uint32
+}
+
+func toWire(a announcer.Announcement) wireAnnouncement {
+	wire := wireAnnouncement{
+		Service: a.Service, Host: a.Host, Address: a.Address, DataCentre: a.DataCentre, Slots: a.Slots,
+		Connections: a.Connections, Incarnation: a.Incarnation, Sequence: a.Sequence, State: uint8(len(announcedStates)),
+	}
+	for i, s := range announcedStates {
+		if s == a.State {
+			wire.State = uint8(i)
+		}
+	}
+	return wire
+}
+
+func fromWire(w wireAnnouncement) (announcer.Announcement, error) {
+	if int(w.State) >= len(announcedStates) {
+		return announcer.Announcement{}, fmt.Errorf("state number %d of %s/%s does not exist", w.State, w.Service, w.Host)
+	}
+	return announcer.Announcement{
+		ID: announcer.ID{Service: w.Service, Host: w.Host}, Address: w.Address, DataCentre: w.DataCentre, Slots: w.Slots,
+		Connections: w.Connections, Incarnation: w.Incarnation, Sequence: w.Sequence, State: announcedStates[w.State],
+	}, nil
+}
+
+// MarshalCBOR encodes the announcement as an array.
+func (a Announcement) MarshalCBOR() ([]byte, error) { return cbor.Marshal(toWire(a.Announcement)) }
+
+// UnmarshalCBOR decodes the announcement. It returns an error if the state is
+// not known.
+func (a *Announcement) UnmarshalCBOR(data []byte) error {
+	var wire wireAnnouncement
+	if err := cbor.Unmarshal(data, &wire); err != nil {
+		return fmt.Errorf("decode announcement: %w", err)
+	}
+	var err error
+	a.Announcement, err = fromWire(wire)
+	return err
+}
+
+// MarshalCBOR encodes the record as an array.
+func (r Record) MarshalCBOR() ([]byte, error) {
+	return cbor.Marshal(wireRecord{
+		Announcement: toWire(r.Announcement), Holder: r.Holder, Epoch: r.Epoch, Lapsed: r.Lapsed, RampStep: r.RampStep,
+		AgeSeconds: uint32(r.Age / time.Second),
+	})
+}
+
+// UnmarshalCBOR decodes the record. It returns an error if the state is not
+// known.
+func (r *Record) UnmarshalCBOR(data []byte) error {
+	var wire wireRecord
+	if err := cbor.Unmarshal(data, &wire); err != nil {
+		return fmt.Errorf("decode record: %w", err)
+	}
+	announcement, err := fromWire(wire.Announcement)
+	if err != nil {
+		return err
+	}
+	*r = Record{
+		Record: announcer.Record{
+			Announcement: announcement, Holder: wire.Holder, Epoch: wire.Epoch, Lapsed: wire.Lapsed, RampStep: wire.RampStep,
+		},
+		Age: time.Duration(wire.AgeSeconds) * time.Second,
+	}
+	return nil
+}
+
+func decodeMembership(w wireMessage) (Message, error) {
+	switch w.Kind {
+	case KindProbe:
+		return decodeAs[Probe](w)
+	case KindProbeAck:
+		return decodeAs[ProbeAck](w)
+	case KindIndirectProbe:
+		return decodeAs[IndirectProbe](w)
+	case KindRumours:
+		return decodeAs[Rumours](w)
+	case KindJoin:
+		return decodeAs[Join](w)
+	case KindSyncRoots:
+		return decodeAs[SyncRoots](w)
+	case KindSyncBuckets:
+		return decodeAs[SyncBuckets](w)
+	case KindSyncPull:
+		return decodeAs[SyncPull](w)
+	case KindSyncItems:
+		return decodeAs[SyncItems](w)
+	case KindRenewalBatch:
+		return decodeAs[RenewalBatch](w)
+	case KindSummary:
+		return decodeAs[Summary](w)
+	default:
+		return nil, ErrKindNotExist{Kind: w.Kind}
+	}
+}
--- a/entry/models/messenger/messenger.go
+++ b/entry/models/messenger/messenger.go
@@ -9,14 +9,9 @@
 )
 
 // Kind is the number of a message type on the wire. Numbers are never reused.
+// Membership uses 1 to 49, placement 50 to 99.
 type Kind uint8
 
-// Kinds of messages. Membership uses 1 to 49, placement 50 to 99.
-const (
-	KindProbe    Kind = 1
-	KindProbeAck Kind = 2
-)
-
 // Message is one of the message types of this package.
 type Message interface {
 	// Kind returns the number of the type on the wire.
@@ -93,11 +88,9 @@
 }
 
 func decode(w wireMessage) (Message, error) {
-	switch w.Kind {
-	case KindProbe:
-		return decodeAs[Probe](w)
-	case KindProbeAck:
-		return decodeAs[ProbeAck](w)
+	switch {
+	case w.Kind <= lastMembershipKind:
+		return decodeMembership(w)
 	default:
 		return nil, ErrKindNotExist{Kind: w.Kind}
 	}
