--- /dev/null
+++ b/entry/services/gossiper/budget.go
@@ -0,0 +1,54 @@
+package gossiper
+
+import "time"
+
+const (
+	// MessageOverhead is what a message costs on the network beyond its body:
+	// gRPC and HTTP/2 frames, TLS, TCP and IP headers of call and answer.
+	MessageOverhead = 160
+
+	// MaxRumourBytes bounds the rumours of one message.
+	MaxRumourBytes = 1200
+
+	bytesPerSecond    = 2500
+	messagesPerSecond = 4
+	// Bursts let a change reach all peers of a small region well within a
+	// second; the average stays bounded by the rates.
+	byteBurst    = 5000
+	messageBurst = 8
+)
+
+// budget bounds the traffic of rumours with two token buckets. Probes and their
+// answers are always sent, and leave fewer tokens for rumours.
+type budget struct {
+	last     time.Time
+	bytes    float64
+	messages float64
+}
+
+func newBudget(now time.Time) budget {
+	return budget{last: now, bytes: byteBurst, messages: messageBurst}
+}
+
+func (b *budget) refill(now time.Time) {
+	elapsed := now.Sub(b.last).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.last = now
+	b.bytes = min(byteBurst, b.bytes+elapsed*bytesPerSecond)
+	b.messages = min(messageBurst, b.messages+elapsed*messagesPerSecond)
+}
+
+func (b *budget) take(bytes int) {
+	b.bytes = max(-byteBurst, b.bytes-float64(bytes))
+	b.messages = max(-messageBurst, b.messages-1)
+}
+
+// room returns how many bytes of rumours a message may carry.
+func (b *budget) room() int {
+	return max(0, min(MaxRumourBytes, int(b.bytes)-MessageOverhead))
+}
+
+// mayGossip reports whether a message that only carries rumours may be sent.
+func (b *budget) mayGossip() bool { return b.messages >= 1 && b.bytes >= 2*MessageOverhead }
--- /dev/null
+++ b/entry/services/gossiper/probe.go
@@ -0,0 +1,211 @@
+package gossiper
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+)
+
+// probe is a probe without an answer so far.
+type probe struct {
+	sequence uint64
+	target   string
+	sentAt   time.Time
+	indirect bool
+	// repeated marks the probes of a suspect, whose failure changes nothing.
+	repeated bool
+}
+
+// relay is a probe that was sent for another entry.
+type relay struct {
+	to       netip.AddrPort
+	sequence uint64
+	until    time.Time
+}
+
+func (m *Machine) probeNext(r *ring) {
+	if p := r.take(m.random); p != nil {
+		m.probe(p, false)
+	}
+}
+
+func (m *Machine) probe(p *member, repeated bool) {
+	m.counts.ProbesSent++
+	seq := m.nextSequence()
+	m.probes = append(m.probes, &probe{sequence: seq, target: p.Name, sentAt: m.now, repeated: repeated})
+	m.send(p.Name, p.Address, messenger.Probe{Sequence: seq, Address: m.self.Address})
+}
+
+func (m *Machine) checkProbes() {
+	m.probes = slices.DeleteFunc(m.probes, func(p *probe) bool {
+		target := m.members[p.target]
+		if target == nil || !target.isLive() {
+			return true
+		}
+		if age := m.now.Sub(p.sentAt); age >= probeTimeout {
+			m.failProbe(target, p)
+			return true
+		} else if age >= indirectAfter && !p.indirect && !p.repeated {
+			p.indirect = true
+			m.probeIndirectly(target, p.sequence)
+		}
+		return false
+	})
+	for seq, r := range m.relays {
+		if m.now.After(r.until) {
+			delete(m.relays, seq)
+		}
+	}
+}
+
+// probeIndirectly asks peers of the target's data centre, or else of any.
+func (m *Machine) probeIndirectly(target *member, sequence uint64) {
+	first, second := &m.nearRing, &m.farRing
+	if target.DataCentre != m.self.DataCentre {
+		first, second = second, first
+	}
+	peers := first.sample(indirectPeers, target.Name, m.random)
+	peers = append(peers, second.sample(indirectPeers-len(peers), target.Name, m.random)...)
+	for _, p := range peers {
+		m.send(p.Name, p.Address, messenger.IndirectProbe{Sequence: sequence, Target: target.Name, Address: target.Address})
+	}
+}
+
+func (m *Machine) failProbe(target *member, p *probe) {
+	if p.repeated {
+		return
+	}
+	m.counts.ProbesFailed++
+	if target.State != messenger.MemberAlive {
+		return
+	}
+	m.counts.Suspicions++
+	suspect := target.Member
+	suspect.State = messenger.MemberSuspect
+	m.setMember(target, suspect)
+	target.suspectUntil = m.now.Add(suspectTimeout)
+	target.probeAt = m.now
+}
+
+// checkSuspects probes the suspects of this entry again, which tells them of the
+// suspicion, and declares those dead whose time is up.
+func (m *Machine) checkSuspects() {
+	for _, r := range []*ring{&m.nearRing, &m.farRing} {
+		for _, p := range slices.Clone(r.members) {
+			if p.State != messenger.MemberSuspect {
+				continue
+			}
+			if !m.now.Before(p.suspectUntil) {
+				m.counts.Deaths++
+				dead := p.Member
+				dead.State = messenger.MemberDead
+				m.setMember(p, dead)
+			} else if !p.probeAt.IsZero() && !m.now.Before(p.probeAt) {
+				p.probeAt = m.now.Add(suspectProbePeriod)
+				m.probe(p, true)
+			}
+		}
+	}
+}
+
+func (m *Machine) receive(in Received) {
+	if in.Envelope.From == m.self.Name {
+		return
+	}
+	sender, before := m.members[in.Envelope.From], messenger.MemberDead
+	if sender != nil {
+		before = sender.State
+	}
+	for _, msg := range in.Envelope.Messages {
+		m.handle(in.Envelope.From, msg)
+	}
+	if sender != nil && before == messenger.MemberDead && sender.isLive() {
+		// The sender was on the other side of a cut: both missed changes.
+		m.sendRoots(sender.Address)
+	}
+}
+
+func (m *Machine) handle(from string, msg messenger.Message) {
+	switch msg := msg.(type) {
+	case messenger.Probe:
+		m.answerProbe(from, msg)
+	case messenger.ProbeAck:
+		m.acceptAck(from, msg.Sequence)
+	case messenger.IndirectProbe:
+		m.relayProbe(from, msg)
+	case messenger.Rumours:
+		m.acceptRumours(from, msg)
+	case messenger.Join:
+		m.answerJoin(msg)
+	case messenger.SyncRoots:
+		m.answerRoots(msg)
+	case messenger.SyncBuckets:
+		m.answerBuckets(from, msg)
+	case messenger.SyncPull:
+		m.answerPull(from, msg)
+	case messenger.SyncItems:
+		m.acceptItems(from, msg)
+	case messenger.Summary:
+		m.acceptSummary(msg)
+	}
+}
+
+func (m *Machine) answerProbe(from string, msg messenger.Probe) {
+	if !msg.Address.IsValid() {
+		return
+	}
+	if m.left {
+		// An answer lets the peer learn that this entry leaves.
+		m.send(from, msg.Address, messenger.ProbeAck{Sequence: msg.Sequence})
+		return
+	}
+	if m.members[from] == nil {
+		m.counts.UnknownSenders++
+		m.sendRoots(msg.Address)
+	}
+	m.send(from, msg.Address, messenger.ProbeAck{Sequence: msg.Sequence})
+}
+
+func (m *Machine) relayProbe(from string, msg messenger.IndirectProbe) {
+	requester := m.members[from]
+	if requester == nil || !msg.Address.IsValid() {
+		return
+	}
+	seq := m.nextSequence()
+	m.relays[seq] = relay{to: requester.Address, sequence: msg.Sequence, until: m.now.Add(probeTimeout)}
+	m.send(msg.Target, msg.Address, messenger.Probe{Sequence: seq, Address: m.self.Address})
+}
+
+func (m *Machine) acceptAck(from string, sequence uint64) {
+	if r, ok := m.relays[sequence]; ok {
+		delete(m.relays, sequence)
+		m.send("", r.to, messenger.ProbeAck{Sequence: r.sequence})
+		return
+	}
+	m.probes = slices.DeleteFunc(m.probes, func(p *probe) bool { return p.sequence == sequence })
+	m.ready.heard(from)
+}
+
+func (m *Machine) acceptRumours(from string, msg messenger.Rumours) {
+	for _, heard := range msg.Members {
+		m.mergeMember(heard)
+	}
+	for _, record := range msg.Records {
+		m.mergeRecord(record, sourceRumour)
+	}
+	m.hearVersion(from, msg.Version)
+}
+
+func (m *Machine) hearVersion(from string, version uint64) {
+	sender := m.members[from]
+	switch {
+	case sender == nil:
+	case version > m.version:
+		m.emit(VersionHeard{Version: version, From: sender.Address})
+	case version == m.version:
+		m.rumours.heard(versionKey)
+	}
+	m.ready.hearVersion(version)
+}
