Run the membership, leases and configuration in the entry

The control part of an entry is one goroutine that runs three state machines: gossiper (members, records, versions), leaser (leases and ramps) and configurer (where the configuration comes from). It publishes an immutable view.

Any entry applies an announcement that changes a record; only renewals go to the holder. Waiting for the holder would make a departure depend on an entry that may have just died.

gRPC connections of the pool retry after at most 1 s instead of 120 s, because a healed cut otherwise stays open.

--- a/entry/models/messenger/membership.go
+++ b/entry/models/messenger/membership.go
@@ -109,6 +109,9 @@
 	Version uint64   `cbor:"1,keyasint,omitempty"`
 	Members []Member `cbor:"2,keyasint,omitempty"`
 	Records []Record `cbor:"3,keyasint,omitempty"`
+	// AgeSeconds tells how long ago control confirmed Version, rounded up; 0 if
+	// that is not known.
+	AgeSeconds uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind returns KindRumours.
@@ -182,11 +185,31 @@
 // Kind returns KindSyncItems.
 func (SyncItems) Kind() Kind { return KindSyncItems }
 
-// RenewalBatch forwards announcements of backend servers to the holder of their
-// records.
+// Renewal tells that a backend server has announced itself without a change.
+type Renewal struct {
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Host        string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// Observation tells what the packet path of an entry has seen of a backend
+// server.
+type Observation struct {
+	_         struct{} `cbor:",toarray"`
+	Service   string
+	Host      string
+	Responses uint32
+	// Failures counts resets and unanswered SYNs.
+	Failures uint32
+}
+
+// RenewalBatch forwards what concerns the records of one holder.
 type RenewalBatch struct {
-	sealed        `cbor:"-"`
-	Announcements []Announcement `cbor:"1,keyasint"`
+	sealed       `cbor:"-"`
+	Renewals     []Renewal     `cbor:"1,keyasint,omitempty"`
+	Observations []Observation `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind returns KindRenewalBatch.
@@ -213,11 +236,6 @@
 	Age time.Duration
 }
 
-// Announcement is an announcer.Announcement with a compact encoding.
-type Announcement struct {
-	announcer.Announcement
-}
-
 // announcedStates gives each state its number on the wire, which is the index.
 var announcedStates = []announcer.State{
 	announcer.StateStarting, announcer.StateReady, announcer.StateDraining, announcer.StateLeaving,
@@ -269,21 +287,6 @@
 	}, nil
 }
 
-// MarshalCBOR encodes the announcement as an array.
-func (a Announcement) MarshalCBOR() ([]byte, error) { return cbor.Marshal(toWire(a.Announcement)) }
-
-// UnmarshalCBOR decodes the announcement. It returns an error if the state is
-// not known.
-func (a *Announcement) UnmarshalCBOR(data []byte) error {
-	var wire wireAnnouncement
-	if err := cbor.Unmarshal(data, &wire); err != nil {
-		return fmt.Errorf("decode announcement: %w", err)
-	}
-	var err error
-	a.Announcement, err = fromWire(wire)
-	return err
-}
-
 // MarshalCBOR encodes the record as an array.
 func (r Record) MarshalCBOR() ([]byte, error) {
 	return cbor.Marshal(wireRecord{
@@ -340,3 +343,6 @@
 		return nil, ErrKindNotExist{Kind: w.Kind}
 	}
 }
+
+// IsMembership reports whether messages of the kind belong to the membership.
+func IsMembership(k Kind) bool { return k <= lastMembershipKind }
--- /dev/null
+++ b/entry/routers/peers/peers_test.go
@@ -0,0 +1,125 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/routers/peers"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func serve(t *testing.T, addr netip.AddrPort, service *transporter.Service) {
+	t.Helper()
+	server, err := transporter.Listen(addr, nil, service)
+	require.NoError(t, err)
+	go func() { _ = server.Serve() }()
+	t.Cleanup(server.Stop)
+}
+
+// startControl serves the newest catalog and returns where to store it.
+func startControl(t *testing.T) (netip.AddrPort, *atomic.Pointer[cataloger.Catalog]) {
+	t.Helper()
+	var current atomic.Pointer[cataloger.Catalog]
+	service := transporter.NewService("redwingledge.control.Configuration")
+	transporter.Handle(service, "Fetch", func(ctx context.Context, req *cataloger.FetchRequest) (*cataloger.FetchAnswer, error) {
+		ctx, cancel := context.WithTimeout(ctx, req.Wait)
+		defer cancel()
+		for ctx.Err() == nil {
+			if c := current.Load(); c != nil && c.Version > req.Known {
+				return &cataloger.FetchAnswer{Catalog: c}, nil
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return &cataloger.FetchAnswer{}, nil
+	})
+	addr := freeAddress(t)
+	serve(t, addr, service)
+	return addr, &current
+}
+
+func startEntry(t *testing.T, i int, seeds, control []netip.AddrPort) (*peers.Service, netip.AddrPort) {
+	t.Helper()
+	addr := freeAddress(t)
+	service := peers.New(peers.Options{
+		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%2), Region: "north", PacketAddress: addr,
+		Seeds: seeds, Control: control, Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(), Seed: uint64(i),
+	})
+	if i == 0 {
+		service.RegisterHandler(1, 49, func(string, messenger.Message) { t.Error("membership messages have their own handler") })
+	}
+	serve(t, addr, service.GRPCService())
+	service.Start(addr)
+	t.Cleanup(service.Stop)
+	return service, addr
+}
+
+// Guards against a wiring that loses what the state machines decide: members,
+// records and the configuration must reach every process over gRPC.
+func TestEntriesShareOneView(t *testing.T) {
+	t.Parallel()
+	control, current := startControl(t)
+	var entries []*peers.Service
+	var seeds []netip.AddrPort
+	for i := range 6 {
+		entry, addr := startEntry(t, i, seeds, []netip.AddrPort{control})
+		entries, seeds = append(entries, entry), append(seeds, addr)
+	}
+	eventually := func(what string, done func(*peers.Service) bool) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			for _, e := range entries {
+				if !done(e) {
+					return false
+				}
+			}
+			return true
+		}, 10*time.Second, 20*time.Millisecond, what)
+	}
+	eventually("members", func(e *peers.Service) bool { return len(e.View().Members) == 6 && e.View().Joined })
+
+	current.Store(&cataloger.Catalog{Version: 3, DataCentres: []cataloger.DataCentre{{Name: "dc-0", Region: "north"}}})
+	eventually("catalog", func(e *peers.Service) bool {
+		return e.View().Catalog != nil && e.View().Catalog.Version == 3 && e.View().Ready
+	})
+	next, err := current.Load().WithVersion(4).WithTakenOut("dc-0", true)
+	require.NoError(t, err)
+	current.Store(&next)
+	eventually("change", func(e *peers.Service) bool { return e.View().Catalog.IsTakenOut("dc-0") })
+
+	a := announcer.Announcement{
+		ID: announcer.ID{Service: "sack-orders", Host: "host-1"}, Address: netip.MustParseAddrPort("127.0.0.1:9"), DataCentre: "dc-1",
+		Slots: 2, Connections: 2000, Incarnation: 1, Sequence: 1, State: announcer.StateReady,
+	}
+	answer, err := entries[2].Announce(t.Context(), a)
+	require.NoError(t, err)
+	require.False(t, answer.Stale)
+	eventually("record", func(e *peers.Service) bool {
+		return len(e.View().Records) == 1 && e.View().Records[0].Announcement == a
+	})
+
+	entries[5].Leave(t.Context())
+	entries = entries[:5]
+	eventually("departure", func(e *peers.Service) bool { return len(e.View().Members) == 5 })
+}
--- /dev/null
+++ b/entry/routers/peers/report.go
@@ -0,0 +1,54 @@
+package peers
+
+import (
+	"reflect"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// reportPeriod is how often counters are published.
+const reportPeriod = time.Second
+
+func (l *loop) reportSometimes() {
+	if l.now.Before(l.reportAt) {
+		return
+	}
+	l.reportAt = l.now.Add(reportPeriod)
+	l.report()
+}
+
+// report publishes the counters of the state machines and the sizes of the view.
+func (l *loop) report() {
+	counters := l.service.options.Counters
+	publish := func(prefix string, counts any) {
+		v := reflect.ValueOf(counts)
+		for i := range v.NumField() {
+			counters.Int(prefix + snakeCase(v.Type().Field(i).Name)).Set(int64(v.Field(i).Uint()))
+		}
+	}
+	publish("membership_", l.gossiper.Counts())
+	publish("announcements_", l.leaser.Counts())
+	publish("configuration_", l.configurer.Counts())
+	view := l.service.View()
+	counters.Int("members_live").Set(int64(len(view.Members)))
+	counters.Int("records").Set(int64(len(view.Records)))
+	counters.Int("configuration_version").Set(int64(l.configurer.Version()))
+	age := int64(-1)
+	if known, ok := l.gossiper.VersionAge(); ok {
+		age = int64(known.Seconds())
+	}
+	counters.Int("configuration_age_seconds").Set(age)
+}
+
+// snakeCase turns a field name such as ProbesSent into probes_sent.
+func snakeCase(name string) string {
+	var b strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/entry/routers/peers/service.go
@@ -0,0 +1,294 @@
+// Package peers connects an entry with its peers and with control: it serves the
+// gRPC service redwingledge.entry.Peer, runs the state machines of membership,
+// leases and configuration in one goroutine, and publishes the view that they
+// make.
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/models/viewer"
+	"github.com/redwingledge/redwingledge/entry/services/configurer"
+	"github.com/redwingledge/redwingledge/entry/services/gossiper"
+	"github.com/redwingledge/redwingledge/entry/services/leaser"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+const (
+	ringCapacity = 4096
+	// senders deliver messages at the same time, so that peers that do not
+	// answer hold up only some of them.
+	senders = 16
+	// deliverTimeout bounds a delivery. A probe that takes longer has failed.
+	deliverTimeout = time.Second
+	// leavePeriod is how long the news of leaving is spread.
+	leavePeriod = time.Second
+)
+
+// Counters of messages to and from peers.
+const (
+	counterSent      = "peer_messages_sent"
+	counterFailed    = "peer_messages_failed"
+	counterDropped   = "peer_messages_dropped"
+	counterUnhandled = "peer_messages_unhandled"
+)
+
+// Options are what a Service needs.
+type Options struct {
+	Name          string
+	DataCentre    string
+	Region        string
+	PacketAddress netip.AddrPort
+	// Seeds are gRPC addresses of entries of the region.
+	Seeds []netip.AddrPort
+	// Control are gRPC addresses of control replicas.
+	Control []netip.AddrPort
+	Lease   time.Duration
+	TLS     *tls.Config
+	Seed    uint64
+
+	Timer    timer.Service
+	Counters *reporter.Counters
+	Logger   *slog.Logger
+}
+
+// Service is the control part of an entry. Its methods are safe for concurrent
+// use.
+type Service struct {
+	options Options
+	view    *viewer.Builder
+	jobs    *buffer.Ring[job]
+	outbox  *buffer.Ring[gossiper.Send]
+	pool    *transporter.Pool
+	history *configurer.History
+
+	handlersMu sync.RWMutex
+	handlers   []handler
+
+	lateMu sync.Mutex
+	late   []job
+
+	loop   *loop
+	ticks  *timer.Subscription
+	cancel context.CancelFunc
+	ctx    context.Context
+	work   sync.WaitGroup
+}
+
+type handler struct {
+	first, last messenger.Kind
+	handle      messenger.Handler
+}
+
+var _ messenger.Outbox = (*Service)(nil)
+
+// New returns a Service that does nothing until Start.
+func New(options Options) *Service {
+	if options.Lease == 0 {
+		options.Lease = leaser.DefaultLease
+	}
+	s := &Service{
+		options: options,
+		view:    viewer.NewBuilder(),
+		jobs:    buffer.NewRing[job](ringCapacity),
+		outbox:  buffer.NewRing[gossiper.Send](ringCapacity),
+		pool:    transporter.NewPool(options.TLS),
+		history: configurer.NewHistory(),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	for _, name := range []string{counterSent, counterFailed, counterDropped, counterUnhandled} {
+		options.Counters.Int(name)
+	}
+	return s
+}
+
+// View returns the current view.
+func (s *Service) View() *viewer.View { return s.view.Get() }
+
+// RegisterHandler has messages of the kinds first to last handed to handle. It
+// must be called before Start.
+func (s *Service) RegisterHandler(first, last messenger.Kind, handle messenger.Handler) {
+	s.handlersMu.Lock()
+	defer s.handlersMu.Unlock()
+	s.handlers = append(s.handlers, handler{first: first, last: last, handle: handle})
+}
+
+// Send queues messages for the named live entry.
+func (s *Service) Send(to string, messages ...messenger.Message) bool {
+	member, ok := s.View().GetMember(to)
+	if !ok {
+		return false
+	}
+	self, _ := s.View().GetMember(s.options.Name)
+	return s.outbox.TryPush(gossiper.Send{To: member.Address, Envelope: messenger.Envelope{
+		From: s.options.Name, Incarnation: self.Incarnation, Messages: messages,
+	}})
+}
+
+// Observe reports what the packet path has seen of a backend server since the
+// last report. It returns false if the report was dropped.
+func (s *Service) Observe(id announcer.ID, responses, failures uint32) bool {
+	return s.jobs.TryPush(observeJob{observed: leaser.Observed{ID: id, Responses: responses, Failures: failures}})
+}
+
+// ErrBusy reports an announcement that could not be taken in.
+type ErrBusy struct{}
+
+// Error returns the message of the error.
+func (ErrBusy) Error() string { return "the entry is too busy to take announcements" }
+
+// Announce applies a checked announcement. It returns ErrBusy if that is not
+// possible now.
+func (s *Service) Announce(ctx context.Context, a announcer.Announcement) (leaser.Answered, error) {
+	reply := make(chan leaser.Answered, 1)
+	if !s.jobs.TryPush(announceJob{announcement: a, reply: reply}) {
+		return leaser.Answered{}, ErrBusy{}
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return leaser.Answered{}, fmt.Errorf("announce %s: %w", a.ID, ctx.Err())
+	case <-s.ctx.Done():
+		return leaser.Answered{}, ErrBusy{}
+	}
+}
+
+// Lease returns the duration of a lease.
+func (s *Service) Lease() time.Duration { return s.options.Lease }
+
+// GRPCService returns the service to be served on the gRPC address.
+func (s *Service) GRPCService() *transporter.Service {
+	service := transporter.NewService(messenger.PeerService)
+	transporter.Handle(service, "Deliver", s.deliver)
+	transporter.Handle(service, "Fetch", s.fetch)
+	return service
+}
+
+// Start joins the membership. The gRPC server must be bound to address.
+func (s *Service) Start(address netip.AddrPort) {
+	now := s.options.Timer.Now()
+	s.loop = newLoop(s, address, now)
+	s.ticks = s.options.Timer.Subscribe("membership", gossiper.TickPeriod)
+	s.work.Go(s.loop.run)
+	s.work.Go(s.forwardTicks)
+	for range senders {
+		s.work.Go(s.sendAll)
+	}
+}
+
+func (s *Service) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(s.options.Seed, stream))
+}
+
+func (s *Service) forwardTicks() {
+	for {
+		select {
+		case <-s.ticks.C:
+			s.jobs.TryPush(tickJob{})
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave tells the peers that this entry leaves, and returns once the news had
+// time to spread or ctx ends. Messages are still answered until Stop.
+func (s *Service) Leave(ctx context.Context) {
+	ticks := s.options.Timer.Subscribe("leave", leavePeriod)
+	defer ticks.Cancel()
+	s.jobs.TryPush(leaveJob{})
+	select {
+	case <-ticks.C:
+	case <-ctx.Done():
+	}
+}
+
+// Stop ends all goroutines of the service.
+func (s *Service) Stop() {
+	if s.ticks != nil {
+		s.ticks.Cancel()
+	}
+	s.cancel()
+	s.jobs.Close()
+	s.outbox.Close()
+	s.work.Wait()
+	s.pool.Close()
+}
+
+// deliver takes an envelope from a peer.
+func (s *Service) deliver(ctx context.Context, env *messenger.Envelope) (*messenger.DeliverAnswer, error) {
+	if err := s.authorize(ctx, env.From); err != nil {
+		return nil, err
+	}
+	var own []messenger.Message
+	for _, msg := range env.Messages {
+		if messenger.IsMembership(msg.Kind()) {
+			own = append(own, msg)
+		} else {
+			s.dispatch(env.From, msg)
+		}
+	}
+	if len(own) > 0 {
+		env.Messages = own
+		if !s.jobs.TryPush(receiveJob{envelope: *env}) {
+			return nil, status.Error(codes.ResourceExhausted, "the membership queue is full")
+		}
+	}
+	return &messenger.DeliverAnswer{}, nil
+}
+
+func (s *Service) dispatch(from string, msg messenger.Message) {
+	s.handlersMu.RLock()
+	defer s.handlersMu.RUnlock()
+	for _, h := range s.handlers {
+		if msg.Kind() >= h.first && msg.Kind() <= h.last {
+			h.handle(from, msg)
+			return
+		}
+	}
+	s.options.Counters.Int(counterUnhandled).Add(1)
+}
+
+// authorize checks that a peer with a certificate is the entry that it says, and
+// that the configuration declares it, once there is one. Certificates of backend
+// servers may come from the same authority.
+func (s *Service) authorize(ctx context.Context, from string) error {
+	if s.options.TLS == nil {
+		return nil
+	}
+	name := transporter.PeerCommonName(ctx)
+	if name == "" || (from != "" && name != from) {
+		return status.Errorf(codes.PermissionDenied, "certificate is for %q, not for %q", name, from)
+	}
+	catalog := s.View().Catalog
+	if catalog == nil || slices.ContainsFunc(catalog.Entries, func(e cataloger.Member) bool { return e.Name == name }) {
+		return nil
+	}
+	return status.Errorf(codes.PermissionDenied, "the configuration does not declare entry %q", name)
+}
+
+// fetch gives a peer the newer configuration.
+func (s *Service) fetch(ctx context.Context, req *messenger.FetchRequest) (*messenger.FetchAnswer, error) {
+	if err := s.authorize(ctx, ""); err != nil {
+		return nil, err
+	}
+	return s.history.Answer(req.Known), nil
+}
--- /dev/null
+++ b/entry/services/configurer/history.go
@@ -0,0 +1,82 @@
+package configurer
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/redwingledge/redwingledge/entry/models/differ"
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+)
+
+// maxHistory is the number of versions that peers may be behind and still get a
+// change rather than the whole catalog.
+const maxHistory = 8
+
+// History remembers the latest versions and answers the fetches of peers. It is
+// safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	versions []*cataloger.Catalog
+	// answers are those to the newest catalog by known version.
+	answers map[uint64]*messenger.FetchAnswer
+}
+
+// NewHistory returns an empty History.
+func NewHistory() *History { return &History{answers: make(map[uint64]*messenger.FetchAnswer)} }
+
+// Add makes c the newest catalog.
+func (h *History) Add(c *cataloger.Catalog) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions = append(h.versions, c)
+	if extra := len(h.versions) - maxHistory; extra > 0 {
+		h.versions = slices.Delete(h.versions, 0, extra)
+	}
+	clear(h.answers)
+}
+
+// Answer returns what a peer that holds the known version lacks.
+func (h *History) Answer(known uint64) *messenger.FetchAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.versions) == 0 {
+		return &messenger.FetchAnswer{}
+	}
+	newest := h.versions[len(h.versions)-1]
+	if newest.Version <= known {
+		return &messenger.FetchAnswer{}
+	}
+	if answer, ok := h.answers[known]; ok {
+		return answer
+	}
+	answer := &messenger.FetchAnswer{Catalog: newest}
+	if base := h.find(known); base != nil {
+		if delta, ok := differ.Diff(base, newest); ok {
+			answer = &messenger.FetchAnswer{Delta: delta}
+		}
+	}
+	h.answers[known] = answer
+	return answer
+}
+
+// Resolve returns the catalog that an answer stands for, or nil if there is
+// none. It returns false if the answer builds on a catalog that is not at hand.
+func (h *History) Resolve(answer *messenger.FetchAnswer) (*cataloger.Catalog, bool) {
+	if answer.Delta == nil {
+		return answer.Catalog, true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c, err := answer.Delta.Apply(h.find(answer.Delta.From))
+	return c, err == nil
+}
+
+func (h *History) find(version uint64) *cataloger.Catalog {
+	for _, c := range h.versions {
+		if c.Version == version {
+			return c
+		}
+	}
+	return nil
+}
--- a/entry/services/gossiper/gossiper.go
+++ b/entry/services/gossiper/gossiper.go
@@ -102,6 +102,11 @@
 	out       []Output
 	dirty     bool
 	announced []messenger.Member
+	lost      int
+	// supersededBy is the address of another process with this entry's name.
+	supersededBy netip.AddrPort
+	// confirmedAt is when control confirmed the version held, zero if never.
+	confirmedAt time.Time
 }
 
 type schedule struct {
@@ -153,6 +158,8 @@
 		m.mergeRecord(messenger.Record{Record: in.Record}, sourceLocal)
 	case VersionChanged:
 		m.changeVersion(in.Version)
+	case VersionConfirmed:
+		m.confirmedAt = m.now
 	case RemotesChanged:
 		m.remotes = in.Addresses
 	case Leave:
@@ -260,9 +267,38 @@
 		return
 	}
 	m.version = version
+	m.confirmedAt = time.Time{}
 	m.rumours.add(versionKey)
 }
 
+// VersionAge returns how long ago control was last known to hold no newer
+// version than this entry. It returns false if that is not known.
+func (m *Machine) VersionAge() (time.Duration, bool) {
+	if m.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return m.now.Sub(m.confirmedAt), true
+}
+
+// hearAge takes over a later confirmation of the same version from a peer.
+func (m *Machine) hearAge(age uint32) {
+	if age == 0 {
+		return
+	}
+	if at := m.now.Add(-time.Duration(age) * time.Second); at.After(m.confirmedAt) {
+		m.confirmedAt = at
+	}
+}
+
+// sentAge returns the age for a message in seconds, rounded up, or 0 if it is not
+// known.
+func (m *Machine) sentAge() uint32 {
+	if m.confirmedAt.IsZero() {
+		return 0
+	}
+	return uint32(m.now.Sub(m.confirmedAt)/time.Second) + 1
+}
+
 func (m *Machine) emit(out Output) { m.out = append(m.out, out) }
 
 func (m *Machine) nextSequence() uint64 {
--- a/entry/services/gossiper/input.go
+++ b/entry/services/gossiper/input.go
@@ -23,6 +23,9 @@
 // VersionChanged tells which configuration version this entry now holds.
 type VersionChanged struct{ Version uint64 }
 
+// VersionConfirmed tells that control has just confirmed the version held.
+type VersionConfirmed struct{}
+
 // RemotesChanged sets the gRPC addresses of the entries of other regions.
 type RemotesChanged struct{ Addresses []netip.AddrPort }
 
@@ -30,12 +33,13 @@
 // the news.
 type Leave struct{}
 
-func (Tick) isInput()           {}
-func (Received) isInput()       {}
-func (RecordChanged) isInput()  {}
-func (VersionChanged) isInput() {}
-func (RemotesChanged) isInput() {}
-func (Leave) isInput()          {}
+func (Tick) isInput()             {}
+func (Received) isInput()         {}
+func (RecordChanged) isInput()    {}
+func (VersionChanged) isInput()   {}
+func (VersionConfirmed) isInput() {}
+func (RemotesChanged) isInput()   {}
+func (Leave) isInput()            {}
 
 // Output is something that a Machine asks for or tells.
 type Output interface{ isOutput() }
@@ -48,7 +52,12 @@
 
 // MembersChanged carries all live members in the order of their names: this
 // entry, unless it leaves, and those that are alive or suspect.
-type MembersChanged struct{ Members []messenger.Member }
+type MembersChanged struct {
+	Members []messenger.Member
+	// Lost is the number of members of this entry's data centre that died in
+	// the last 10 min.
+	Lost int
+}
 
 // RecordUpdated is a new or changed record that another entry decided on.
 type RecordUpdated struct{ Record announcer.Record }
--- a/entry/services/gossiper/member.go
+++ b/entry/services/gossiper/member.go
@@ -138,7 +138,10 @@
 		// The newer process keeps the name. To overrule it would make the two
 		// raise their incarnations forever.
 		m.counts.NameConflicts++
-		m.emit(Superseded{By: heard})
+		if heard.Address != m.supersededBy {
+			m.supersededBy = heard.Address
+			m.emit(Superseded{By: heard})
+		}
 		return
 	}
 	m.counts.Refutations++
@@ -152,6 +155,7 @@
 
 // sweep forgets what is past its retention.
 func (m *Machine) sweep() {
+	m.dirty = true // The number of lost members changes with time.
 	for name, p := range m.members {
 		if !p.isLive() && m.now.Sub(p.changedAt) > retention {
 			delete(m.members, name)
@@ -180,11 +184,25 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b messenger.Member) int { return cmp.Compare(a.Name, b.Name) })
-	if slices.Equal(live, m.announced) {
+	lost := m.countLost()
+	if slices.Equal(live, m.announced) && lost == m.lost {
 		return
 	}
-	m.announced = live
-	m.emit(MembersChanged{Members: slices.Clone(live)})
+	m.announced, m.lost = live, lost
+	m.emit(MembersChanged{Members: slices.Clone(live), Lost: lost})
+}
+
+// lostPeriod is how long a dead member counts as lost rather than replaced.
+const lostPeriod = 10 * time.Minute
+
+func (m *Machine) countLost() int {
+	lost := 0
+	for _, p := range m.members {
+		if p.State == messenger.MemberDead && p.DataCentre == m.self.DataCentre && m.now.Sub(p.changedAt) < lostPeriod {
+			lost++
+		}
+	}
+	return lost
 }
 
 // ring deals members in turns: each once, in random order, before any repeats,
--- a/entry/services/gossiper/network_test.go
+++ b/entry/services/gossiper/network_test.go
@@ -87,8 +87,8 @@
 
 // add starts node i in data centre i modulo dcs, which joins through the first
 // nodes.
-func (n *network) add(i, dcs int) *node {
-	return n.start(Settings{
+func (n *network) add(i, dcs int) {
+	n.start(Settings{
 		Name: fmt.Sprintf("entry-%03d", i), DataCentre: fmt.Sprintf("dc-%d", i%dcs), Region: "north",
 		Address: address(i), PacketAddress: address(i), Incarnation: uint64(n.now.UnixMilli()),
 		Seeds: []netip.AddrPort{address(0), address(1), address(2)},
--- a/entry/services/gossiper/probe.go
+++ b/entry/services/gossiper/probe.go
@@ -165,6 +165,11 @@
 		m.counts.UnknownSenders++
 		m.sendRoots(msg.Address)
 	}
+	if p := m.members[from]; p != nil && p.Address != msg.Address {
+		// Another process has taken over the sender's name.
+		m.sendPlain(msg.Address, messenger.Rumours{Version: m.version, Members: []messenger.Member{p.rumour()}})
+		return
+	}
 	m.send(from, msg.Address, messenger.ProbeAck{Sequence: msg.Sequence})
 }
 
@@ -196,6 +201,9 @@
 		m.mergeRecord(record, sourceRumour)
 	}
 	m.hearVersion(from, msg.Version)
+	if msg.Version == m.version {
+		m.hearAge(msg.AgeSeconds)
+	}
 }
 
 func (m *Machine) hearVersion(from string, version uint64) {
--- a/entry/services/gossiper/record.go
+++ b/entry/services/gossiper/record.go
@@ -65,7 +65,7 @@
 
 func (s *recordStore) put(record announcer.Record, lapsedAt time.Time) {
 	s.drop(record.ID)
-	key := hasher.String(record.ID.String())
+	key := hasher.String(record.String())
 	item := &storedRecord{record: record, lapsedAt: lapsedAt, key: key, value: recordValue(key, record)}
 	s.items[record.ID] = item
 	s.buckets[key%recordBuckets] ^= item.value
--- a/entry/services/gossiper/rumour.go
+++ b/entry/services/gossiper/rumour.go
@@ -20,12 +20,11 @@
 
 var versionKey = rumourKey{}
 
-func memberKey(name string) rumourKey        { return rumourKey{member: name} }
-func recordKey(id announcer.ID) rumourKey    { return rumourKey{record: id} }
-func (k rumourKey) isVersion() bool          { return k == versionKey }
-func (k rumourKey) isMember() bool           { return k.member != "" }
-func (q *rumourQueue) remove(k rumourKey)    { delete(q.items, k) }
-func (q *rumourQueue) get(k rumourKey) *item { return q.items[k] }
+func memberKey(name string) rumourKey     { return rumourKey{member: name} }
+func recordKey(id announcer.ID) rumourKey { return rumourKey{record: id} }
+func (k rumourKey) isVersion() bool       { return k == versionKey }
+func (k rumourKey) isMember() bool        { return k.member != "" }
+func (q *rumourQueue) remove(k rumourKey) { delete(q.items, k) }
 
 type item struct {
 	key   rumourKey
@@ -80,7 +79,7 @@
 // collectRumours returns the rumours for a message to the named peer, which
 // first are what the peer must know about itself, and their size.
 func (m *Machine) collectRumours(to string) (messenger.Rumours, int) {
-	rumours := messenger.Rumours{Version: m.version}
+	rumours := messenger.Rumours{Version: m.version, AgeSeconds: m.sentAge()}
 	room, size := m.budget.room(), 0
 	if p := m.members[to]; p != nil && p.State != messenger.MemberAlive {
 		// A member that is suspect or dead learns it first, to refute it. This
--- a/shared/modules/transporter/client.go
+++ b/shared/modules/transporter/client.go
@@ -6,10 +6,19 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 )
 
+// connectParams retry a lost peer often: the default of up to 120 s between
+// attempts would keep the two sides of a cut apart long after its end.
+var connectParams = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: 2 * time.Second,
+}
+
 // Pool keeps one connection for each peer address. It is safe for concurrent
 // use.
 type Pool struct {
@@ -64,7 +73,8 @@
 	if conn, ok := p.conns[addr]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr.String(), grpc.WithTransportCredentials(serverCredentials(p.config)))
+	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
+		grpc.WithTransportCredentials(serverCredentials(p.config)), grpc.WithNoProxy(), grpc.WithConnectParams(connectParams))
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
