--- a/shared/models/cataloger/catalog.go
+++ b/shared/models/cataloger/catalog.go
@@ -46,6 +46,7 @@
 	Services    []Service      `cbor:"services" json:"services" yaml:"services"`
 	Entries     []Member       `cbor:"entries" json:"entries" yaml:"entries"`
 	Gateways    []Member       `cbor:"gateways" json:"gateways" yaml:"gateways"`
+	Control     []Replica      `cbor:"control" json:"control" yaml:"control"`
 	Operators   []Operator     `cbor:"operators" json:"operators" yaml:"operators"`
 	Policies    Policies       `cbor:"policies" json:"policies" yaml:"policies"`
 	Drained     []announcer.ID `cbor:"drained" json:"drained" yaml:"-"`
@@ -78,6 +79,16 @@
 	Address    netip.AddrPort `cbor:"address" json:"address" yaml:"address"`
 }
 
+// Replica is a control replica.
+type Replica struct {
+	Name       string `cbor:"name" json:"name" yaml:"name"`
+	DataCentre string `cbor:"data_centre" json:"data_centre" yaml:"data_centre"`
+	// Address is where the replica listens to the other replicas.
+	Address netip.AddrPort `cbor:"address" json:"address" yaml:"address"`
+	// OperatorAddress is where the replica listens to operators and entries.
+	OperatorAddress netip.AddrPort `cbor:"operator_address" json:"operator_address" yaml:"operator_address"`
+}
+
 // Role is what an operator may do. A planner may also view, a confirmer may
 // also plan.
 type Role string
@@ -89,6 +100,25 @@
 	RoleConfirmer Role = "confirmer"
 )
 
+// IsValid reports whether r is one of the known roles.
+func (r Role) IsValid() bool { return r.rank() > 0 }
+
+// Includes reports whether r may do what other may do.
+func (r Role) Includes(other Role) bool { return r.rank() > 0 && r.rank() >= other.rank() }
+
+func (r Role) rank() int {
+	switch r {
+	case RoleViewer:
+		return 1
+	case RolePlanner:
+		return 2
+	case RoleConfirmer:
+		return 3
+	default:
+		return 0
+	}
+}
+
 // Operator is a person who may use rwctl.
 type Operator struct {
 	Name string `cbor:"name" json:"name" yaml:"name"`
@@ -130,6 +160,53 @@
 	return c, nil
 }
 
+// WithReplacedReplica returns a copy in which another control replica stands in
+// for the named one. It returns ErrReplicaNotExist if there is no such replica.
+func (c Catalog) WithReplacedReplica(name string, replica Replica) (Catalog, error) {
+	i := slices.IndexFunc(c.Control, func(r Replica) bool { return r.Name == name })
+	if i < 0 {
+		return Catalog{}, ErrReplicaNotExist{Name: name}
+	}
+	c.Control = slices.Clone(c.Control)
+	c.Control[i] = replica
+	return c, nil
+}
+
+// WithOperatorState returns a copy with what operators have drained and taken
+// out in other, as far as c still has the services and data centres.
+func (c Catalog) WithOperatorState(other Catalog) Catalog {
+	c.Drained = slices.DeleteFunc(slices.Clone(other.Drained), func(id announcer.ID) bool {
+		_, err := c.GetService(id.Service)
+		return err != nil
+	})
+	c.DataCentres = slices.Clone(c.DataCentres)
+	for i, d := range c.DataCentres {
+		c.DataCentres[i].TakenOut = other.IsTakenOut(d.Name)
+	}
+	return c
+}
+
+// GetOperator returns the operator with the given name, or ErrOperatorNotExist.
+func (c Catalog) GetOperator(name string) (Operator, error) {
+	for _, o := range c.Operators {
+		if o.Name == name {
+			return o, nil
+		}
+	}
+	return Operator{}, ErrOperatorNotExist{Name: name}
+}
+
+// GetReplica returns the control replica with the given name, or
+// ErrReplicaNotExist.
+func (c Catalog) GetReplica(name string) (Replica, error) {
+	for _, r := range c.Control {
+		if r.Name == name {
+			return r, nil
+		}
+	}
+	return Replica{}, ErrReplicaNotExist{Name: name}
+}
+
 // GetService returns the service with the given name, or ErrServiceNotExist.
 func (c Catalog) GetService(name string) (Service, error) {
 	for _, s := range c.Services {
