--- a/entry/models/messenger/messenger.go
+++ b/entry/models/messenger/messenger.go
@@ -15,6 +15,15 @@
 const (
 	KindProbe    Kind = 1
 	KindProbeAck Kind = 2
+
+	KindPlacements    Kind = 50
+	KindFlowQuery     Kind = 51
+	KindFlowAnswer    Kind = 52
+	KindDigest        Kind = 53
+	KindDigestAck     Kind = 54
+	KindStanding      Kind = 55
+	KindSilenceQuery  Kind = 56
+	KindSilenceAnswer Kind = 57
 )
 
 // Message is one of the message types of this package.
@@ -98,6 +107,22 @@
 		return decodeAs[Probe](w)
 	case KindProbeAck:
 		return decodeAs[ProbeAck](w)
+	case KindPlacements:
+		return decodeAs[Placements](w)
+	case KindFlowQuery:
+		return decodeAs[FlowQuery](w)
+	case KindFlowAnswer:
+		return decodeAs[FlowAnswer](w)
+	case KindDigest:
+		return decodeAs[Digest](w)
+	case KindDigestAck:
+		return decodeAs[DigestAck](w)
+	case KindStanding:
+		return decodeAs[Standing](w)
+	case KindSilenceQuery:
+		return decodeAs[SilenceQuery](w)
+	case KindSilenceAnswer:
+		return decodeAs[SilenceAnswer](w)
 	default:
 		return nil, ErrKindNotExist{Kind: w.Kind}
 	}
--- /dev/null
+++ b/entry/models/tracker/cache_test.go
@@ -0,0 +1,89 @@
+package tracker
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Guards against lines that backward shifting loses or duplicates.
+func TestCacheAgreesWithMap(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := NewCache(400, epoch, DefaultTimeouts)
+	model := map[uint64]uint32{}
+	for range 200_000 {
+		// A small range of homes makes long runs that wrap around.
+		fp := (rng.Uint64N(24)+500)<<12 | rng.Uint64N(30)
+		switch rng.IntN(3) {
+		case 0:
+			if len(model) < 400 {
+				target := rng.Uint32()
+				c.Insert(Line{Fingerprint: fp, Target: target, Seen: 1})
+				model[fp] = target
+			}
+		case 1:
+			c.Delete(fp)
+			delete(model, fp)
+		}
+		line := c.Lookup(fp, 1)
+		if target, ok := model[fp]; ok != (line != nil) || (ok && line.Target != target) {
+			t.Fatalf("flow %x: cache has %v, want %v (held %v)", fp, line, target, ok)
+		}
+	}
+	if c.Len() != len(model) {
+		t.Fatalf("Len() = %d, want %d", c.Len(), len(model))
+	}
+}
+
+// Guards against unbounded growth and against losing recent flows to idle ones.
+func TestCacheEvictsIdleFlowsFirst(t *testing.T) {
+	c := NewCache(1000, epoch, DefaultTimeouts)
+	rng := rand.New(rand.NewPCG(2, 2))
+	for range 1000 {
+		c.Insert(Line{Fingerprint: rng.Uint64(), Seen: 1})
+	}
+	recent := make([]uint64, 200)
+	for i := range recent {
+		recent[i] = rng.Uint64()
+		c.Insert(Line{Fingerprint: recent[i], Seen: 100})
+	}
+	if c.Len() > 1000 {
+		t.Fatalf("cache holds %d flows, limit 1000", c.Len())
+	}
+	for _, fp := range recent {
+		if c.Lookup(fp, 100) == nil {
+			t.Fatalf("recent flow %x was evicted", fp)
+		}
+	}
+}
+
+// Guards against flows that outlive their idle timeout.
+func TestCacheExpiry(t *testing.T) {
+	c := NewCache(1000, epoch, DefaultTimeouts)
+	c.Insert(Line{Fingerprint: 1 << 12, Seen: 1})
+	c.Insert(Line{Fingerprint: 2 << 12, Seen: 1, Flags: FlagUDP})
+	c.Insert(Line{Fingerprint: 3 << 12, Seen: 1, Flags: FlagClosed})
+	for _, step := range []struct{ now, held uint32 }{{61, 3}, {62, 2}, {301, 2}, {302, 1}, {7201, 1}, {7202, 0}} {
+		c.Sweep(1<<20, step.now)
+		if c.Len() != int(step.held) {
+			t.Errorf("after %d s: %d flows held, want %d", step.now, c.Len(), step.held)
+		}
+	}
+}
+
+// Checks the target of at most 64 bytes per held flow.
+func TestCacheBytesPerFlow(t *testing.T) {
+	const flows = 400_000
+	c := NewCache(flows, epoch, DefaultTimeouts)
+	rng := rand.New(rand.NewPCG(3, 3))
+	for range flows {
+		c.Insert(Line{Fingerprint: rng.Uint64(), Seen: 1})
+	}
+	perFlow := float64(c.Bytes()) / float64(c.Len())
+	t.Logf("%d flows held, %.1f bytes per held flow, %d evicted", c.Len(), perFlow, c.Evicted)
+	if perFlow > 64 || c.Evicted > 0 {
+		t.Errorf("%.1f bytes per held flow, %d evicted; want at most 64 and 0", perFlow, c.Evicted)
+	}
+}
