--- a/entry/models/messenger/messenger.go
+++ b/entry/models/messenger/messenger.go
@@ -92,7 +92,7 @@
 	case w.Kind <= lastMembershipKind:
 		return decodeMembership(w)
 	default:
-		return nil, ErrKindNotExist{Kind: w.Kind}
+		return decodePlacement(w)
 	}
 }
 
