Add the placement state machine with owners, digests and transfers

Decide handles a packet without allocation; Step handles records, members, messages and ticks. Entries contest moved buckets, relay unknown flows to an owner, and settle after three digest phases.

--- a/entry/models/messenger/placement.go
+++ b/entry/models/messenger/placement.go
@@ -57,6 +57,11 @@
 	PhaseCorrection
 	// PhaseInformed is empty: the sender has all corrections.
 	PhaseInformed
+	// PhaseFacts lists flows outside a round: the hand-over of a leaving entry, or
+	// the rest of a round that ended before a starting entry had it.
+	PhaseFacts
+	// Phases is the number of phases.
+	Phases
 )
 
 // Digest is one part of a list of flows that stay on another target than the one
@@ -68,8 +73,8 @@
 	// Version is the hash of the sender's active view of the service and of the
 	// entries that take part.
 	Version uint64 `cbor:"2,keyasint"`
-	// Stream numbers the list at the sender.
-	Stream uint32 `cbor:"3,keyasint"`
+	// Stream numbers the list at the sender. It grows, also over restarts.
+	Stream uint64 `cbor:"3,keyasint"`
 	Phase  Phase  `cbor:"4,keyasint"`
 	// Part numbers the parts from 0.
 	Part   uint16 `cbor:"5,keyasint"`
@@ -89,7 +94,7 @@
 // DigestAck states that the sender has received a part of a digest.
 type DigestAck struct {
 	sealed `cbor:"-"`
-	Stream uint32 `cbor:"1,keyasint"`
+	Stream uint64 `cbor:"1,keyasint"`
 	Part   uint16 `cbor:"2,keyasint"`
 }
 
@@ -102,11 +107,11 @@
 	IsReady bool `cbor:"1,keyasint"`
 	// Sequence grows with each change of the sender's standing.
 	Sequence uint64 `cbor:"2,keyasint"`
-	// WantsTransfer asks the receiver for its standing and, if it is ready, for a
-	// PhaseTransfer digest of each service.
-	WantsTransfer bool `cbor:"3,keyasint,omitempty"`
-	// Services is the number of services in the receiver's transfer, in an answer.
-	Services uint16 `cbor:"4,keyasint,omitempty"`
+	// WantsAnswer asks for the standing of the receiver.
+	WantsAnswer bool `cbor:"3,keyasint,omitempty"`
+	// WantsTransfer asks a receiver that is ready for a PhaseTransfer digest of each
+	// service.
+	WantsTransfer bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind returns KindStanding.
--- a/entry/models/tracker/cache.go
+++ b/entry/models/tracker/cache.go
@@ -93,6 +93,9 @@
 // Len returns the number of flows held, including idle ones not yet swept.
 func (c *Cache) Len() int { return c.held }
 
+// Size returns the number of lines, used and free.
+func (c *Cache) Size() int { return len(c.lines) }
+
 // Bytes returns the memory that the lines occupy.
 func (c *Cache) Bytes() int { return len(c.lines) * int(unsafe.Sizeof(Line{})) }
 
@@ -101,7 +104,7 @@
 	return (fingerprint >> 12) & c.mask
 }
 
-func normalize(fingerprint uint64) uint64 {
+func toNonZero(fingerprint uint64) uint64 {
 	if fingerprint == 0 {
 		return 1
 	}
@@ -111,7 +114,7 @@
 // Lookup returns the line of a flow, or nil. The pointer is valid until the next
 // call of another method. It does not allocate.
 func (c *Cache) Lookup(fingerprint uint64, now uint32) *Line {
-	fingerprint = normalize(fingerprint)
+	fingerprint = toNonZero(fingerprint)
 	for i := c.home(fingerprint); ; i = (i + 1) & c.mask {
 		line := &c.lines[i]
 		switch line.Fingerprint {
@@ -131,7 +134,7 @@
 // line. It evicts the most idle flow of the neighbourhood if the cache is full. It
 // does not allocate.
 func (c *Cache) Insert(line Line) *Line {
-	line.Fingerprint = normalize(line.Fingerprint)
+	line.Fingerprint = toNonZero(line.Fingerprint)
 	if c.held >= c.limit {
 		c.evict(c.home(line.Fingerprint))
 	}
@@ -149,7 +152,7 @@
 
 // Delete removes a flow.
 func (c *Cache) Delete(fingerprint uint64) {
-	fingerprint = normalize(fingerprint)
+	fingerprint = toNonZero(fingerprint)
 	for i := c.home(fingerprint); c.lines[i].Fingerprint != 0; i = (i + 1) & c.mask {
 		if c.lines[i].Fingerprint == fingerprint {
 			c.remove(i)
--- /dev/null
+++ b/entry/services/placer/asker.go
@@ -0,0 +1,231 @@
+package placer
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+)
+
+// askScope tells which peers are asked about an unknown flow.
+type askScope uint8
+
+const (
+	// askNext asks the next entry in rendezvous order (after a join the former
+	// owner, at a former owner the present one) and the entries that leave or are
+	// starting again, which may have been owners.
+	askNext askScope = iota
+	// askAll asks all entries of the domain.
+	askAll
+)
+
+// flowAsk is an unknown flow that waits for answers, with its packets.
+type flowAsk struct {
+	service uint16
+	scope   askScope
+	next    uint16
+	tickets []heldPacket
+}
+
+type heldPacket struct {
+	ticket uint32
+	packet Packet
+}
+
+// query is a message about several flows that has not been answered by all.
+type query struct {
+	deadline time.Time
+	waiting  []uint16
+	flows    []uint64
+}
+
+type asker struct {
+	limit      int
+	held       int
+	nextTicket uint32
+	nextQuery  uint32
+	flows      map[uint64]*flowAsk
+	// unsent are the flows to ask about, in order.
+	unsent  []uint64
+	queries map[uint32]*query
+	// spare are records for reuse, so that holding a packet does not allocate.
+	spare []*flowAsk
+}
+
+func newAsker(limit int) asker {
+	a := asker{
+		limit: limit, flows: make(map[uint64]*flowAsk, limit), unsent: make([]uint64, 0, limit),
+		queries: make(map[uint32]*query), spare: make([]*flowAsk, limit),
+	}
+	for i := range a.spare {
+		a.spare[i] = &flowAsk{tickets: make([]heldPacket, 0, 2)}
+	}
+	return a
+}
+
+// ask holds a packet until peers have answered whether they know its flow.
+func (m *Machine) ask(svc *service, packet Packet, scope askScope) Decision {
+	next := m.ownerBut(svc, packet.Flow, self)
+	if next == none {
+		return m.placeUnknown(svc, packet)
+	}
+	a := &m.asks
+	if a.held >= a.limit {
+		return drop(ReasonHoldFull)
+	}
+	f := a.flows[packet.Flow]
+	if f == nil {
+		f = a.spare[len(a.spare)-1]
+		a.spare = a.spare[:len(a.spare)-1]
+		*f = flowAsk{service: svc.index, scope: scope, next: next, tickets: f.tickets[:0]}
+		a.flows[packet.Flow] = f
+		a.unsent = append(a.unsent, packet.Flow)
+		m.counters.Queried++
+	}
+	a.held++
+	a.nextTicket++
+	f.tickets = append(f.tickets, heldPacket{ticket: a.nextTicket, packet: packet})
+	return holdUntil(a.nextTicket)
+}
+
+// flowsPerQuery keeps a query under about 1,200 bytes.
+const flowsPerQuery = 140
+
+// sendQueries sends the flows asked about since the last tick, in one query for
+// each group of peers.
+func (m *Machine) sendQueries() {
+	a := &m.asks
+	type group struct {
+		service uint16
+		scope   askScope
+		next    uint16
+	}
+	var order []group
+	groups := make(map[group][]uint64)
+	for _, flow := range a.unsent {
+		f := a.flows[flow]
+		if f == nil {
+			continue
+		}
+		g := group{service: f.service, scope: f.scope, next: f.next}
+		if f.scope == askAll {
+			g.next = none
+		}
+		if groups[g] == nil {
+			order = append(order, g)
+		}
+		groups[g] = append(groups[g], flow)
+	}
+	a.unsent = a.unsent[:0]
+	for _, g := range order {
+		to := m.services[g.service].members
+		if g.scope == askNext {
+			to = slices.DeleteFunc(slices.Clone(to), func(i uint16) bool {
+				return i != g.next && (m.entries[i].isReady || m.entries[i].standing == 0)
+			})
+		}
+		for flows := range slices.Chunk(groups[g], flowsPerQuery) {
+			m.sendQuery(to, flows)
+		}
+	}
+}
+
+func (m *Machine) sendQuery(to []uint16, flows []uint64) {
+	a := &m.asks
+	a.nextQuery++
+	a.queries[a.nextQuery] = &query{
+		deadline: m.now.Add(m.config.QueryLimit), waiting: slices.Clone(to), flows: flows,
+	}
+	packed := make([]byte, 0, 8*len(flows))
+	for _, flow := range flows {
+		packed = binary.BigEndian.AppendUint64(packed, flow)
+	}
+	for _, i := range to {
+		m.placementTokens.spend(messageOverhead + len(packed))
+		m.send(i, messenger.FlowQuery{ID: a.nextQuery, Flows: packed})
+	}
+}
+
+// answerQuery tells which of the flows this entry has in its cache.
+func (m *Machine) answerQuery(from uint16, msg messenger.FlowQuery) {
+	var p packer
+	for flows := msg.Flows; len(flows) >= 8; flows = flows[8:] {
+		line := m.cache.Lookup(binary.BigEndian.Uint64(flows), m.sec)
+		if line != nil && m.backends[line.Target].isPresent {
+			m.pack(&p, toPlacement(line))
+		}
+	}
+	m.placementTokens.spend(messageOverhead + 9*len(p.targets) + len(p.lines))
+	m.send(from, messenger.FlowAnswer{ID: msg.ID, Targets: p.targets, Lines: p.lines})
+}
+
+func (m *Machine) receiveAnswer(from uint16, msg messenger.FlowAnswer) {
+	q, ok := m.asks.queries[msg.ID]
+	if !ok || !slices.Contains(q.waiting, from) {
+		return
+	}
+	m.unpack(msg.Targets, msg.Lines, func(p placement) {
+		if slices.Contains(q.flows, p.flow) {
+			m.release(p.flow, p.target)
+		}
+	})
+	q.waiting = slices.DeleteFunc(q.waiting, func(i uint16) bool { return i == from })
+	if len(q.waiting) == 0 {
+		m.finishQuery(msg.ID)
+	}
+}
+
+// finishQuery places the flows of a query that no peer knows.
+func (m *Machine) finishQuery(id uint32) {
+	q := m.asks.queries[id]
+	delete(m.asks.queries, id)
+	for _, flow := range q.flows {
+		m.release(flow, 0)
+	}
+}
+
+// release decides on the packets of a flow. Target 0 means that no peer knows it.
+func (m *Machine) release(flow uint64, target uint32) {
+	a := &m.asks
+	f := a.flows[flow]
+	if f == nil {
+		return
+	}
+	delete(a.flows, flow)
+	svc := m.services[f.service]
+	for _, held := range f.tickets {
+		var decision Decision
+		switch line := m.cache.Lookup(flow, m.sec); {
+		case line != nil && m.isUsable(line.Target, svc.index):
+			// Decided for an earlier packet, or learned meanwhile.
+			m.touch(line, held.packet)
+			if held.packet.RelayedBy != 0 {
+				m.hint(held.packet.RelayedBy, toPlacement(line))
+			}
+			decision = forward(line.Target)
+		case target != 0 && m.isUsable(target, svc.index):
+			decision = m.place(svc, held.packet, target, true)
+		default:
+			decision = m.placeUnknown(svc, held.packet)
+		}
+		m.count(decision)
+		m.emit(PacketReleased{Ticket: held.ticket, Decision: decision})
+	}
+	a.held -= len(f.tickets)
+	a.spare = append(a.spare, f)
+}
+
+// expireAsks decides without the answers that have not come in time.
+func (m *Machine) expireAsks() {
+	var due []uint32
+	for id, q := range m.asks.queries {
+		if !q.deadline.After(m.now) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		m.finishQuery(id)
+	}
+}
--- /dev/null
+++ b/entry/services/placer/packet.go
@@ -0,0 +1,113 @@
+// Package placer decides which backend server each packet goes to, so that the
+// entries of a domain agree on every flow while backend servers and entries come
+// and go. It is a deterministic state machine; see docs/placement.md.
+package placer
+
+import "fmt"
+
+// Protocol is the transport protocol of a packet.
+type Protocol uint8
+
+// Transport protocols.
+const (
+	ProtocolTCP Protocol = iota
+	ProtocolUDP
+)
+
+// Flags are the TCP flags of a packet that matter for its placement.
+type Flags uint8
+
+// TCP flags (RFC 9293).
+const (
+	FlagSYN Flags = 1 << iota
+	FlagFIN
+	FlagRST
+)
+
+// Packet is what the placement needs to know of a packet from a caller.
+type Packet struct {
+	// Flow is the 64-bit hash of the 5-tuple. All bits must be well mixed.
+	Flow uint64
+	// RelayedBy is the hash of the name of the entry that relayed the packet, or 0
+	// if it came from the fabric.
+	RelayedBy uint64
+	// Service is the index from Machine.ServiceIndex.
+	Service  uint16
+	Protocol Protocol
+	// Flags has FlagSYN only if the ACK flag is not set.
+	Flags Flags
+}
+
+func (p Packet) isSYN() bool { return p.Protocol == ProtocolTCP && p.Flags&FlagSYN != 0 }
+
+func (p Packet) isClosing() bool {
+	return p.Protocol == ProtocolTCP && p.Flags&(FlagFIN|FlagRST) != 0
+}
+
+// Reply is a packet from a backend server to a caller.
+type Reply struct {
+	// Flow is the same hash as for the packets of the caller.
+	Flow uint64
+	// Backend is the index from Machine.BackendIndex.
+	Backend  uint32
+	Protocol Protocol
+	Flags    Flags
+}
+
+// Action is what to do with a packet.
+type Action uint8
+
+// Actions.
+const (
+	// ActionDrop drops the packet and counts it by reason.
+	ActionDrop Action = iota
+	// ActionForward sends the packet to Decision.Backend.
+	ActionForward
+	// ActionRelay sends the packet to Decision.Entry.
+	ActionRelay
+	// ActionHold keeps the packet until a PacketReleased names Decision.Ticket.
+	ActionHold
+	// ActionReset answers the caller with a TCP reset.
+	ActionReset
+)
+
+// Reason tells why a packet is dropped.
+type Reason uint8
+
+// Reasons.
+const (
+	ReasonNone Reason = iota
+	ReasonServiceNotExist
+	ReasonNoView
+	ReasonNoBackend
+	ReasonTakenOut
+	ReasonHoldFull
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+// String returns the name of the reason, as used for counters.
+func (r Reason) String() string {
+	names := [Reasons]string{"none", "service_not_exist", "no_view", "no_backend", "taken_out", "hold_full"}
+	if r >= Reasons {
+		return fmt.Sprintf("reason_%d", uint8(r))
+	}
+	return names[r]
+}
+
+// Decision is what to do with a packet.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Entry is an index for Machine.GetEntry.
+	Entry uint16
+	// Backend is an index for Machine.GetBackend.
+	Backend uint32
+	// Ticket numbers a held packet.
+	Ticket uint32
+}
+
+func drop(reason Reason) Decision      { return Decision{Action: ActionDrop, Reason: reason} }
+func forward(backend uint32) Decision  { return Decision{Action: ActionForward, Backend: backend} }
+func relayTo(entry uint16) Decision    { return Decision{Action: ActionRelay, Entry: entry} }
+func holdUntil(ticket uint32) Decision { return Decision{Action: ActionHold, Ticket: ticket} }
--- /dev/null
+++ b/entry/services/placer/simulation_test.go
@@ -0,0 +1,309 @@
+package placer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/hasher"
+)
+
+// network joins machines by messages with delay, loss and reordering, and sends
+// them the packets of many flows in virtual time. All randomness is seeded.
+type network struct {
+	rng     *rand.Rand
+	now     time.Time
+	events  eventHeap
+	order   int
+	catalog cataloger.Catalog
+	records map[announcer.ID]announcer.Record
+	nodes   []*node
+	// loss is the share of control messages lost.
+	loss  float64
+	flows []*flow
+	count bool
+	// membersVersion counts the changes of members.
+	membersVersion int
+	tally
+}
+
+// tally is what a run counts.
+type tally struct {
+	packets, delivered, dropped, lost, wrongService, broken int
+	brokenModulo, brokenRendezvous, resets, bytes, messages int
+	drops                                                   [Reasons]int
+}
+
+type node struct {
+	name        string
+	machine     *Machine
+	isUp        bool
+	frozenUntil time.Time
+	// view and ready are the records that the entry has heard of, for the baselines.
+	view  map[announcer.ID]announcer.Record
+	ready [2][]announcer.ID
+	// membersVersion is that of the members that the entry has heard of.
+	membersVersion int
+	held           map[uint32]sent
+}
+
+type flow struct {
+	hash                       uint64
+	service                    int
+	protocol                   Protocol
+	until                      time.Time
+	gap                        time.Duration
+	target, modulo, rendezvous announcer.ID
+	isBroken, isModuloBroken   bool
+	isRendezvousBroken         bool
+	isExcused                  bool
+	isOpen                     bool
+}
+
+type sent struct {
+	flow  *flow
+	flags Flags
+	by    uint64
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+var services = [2]string{"sack-orders", "manifest-desk"}
+
+func newNetwork(seed uint64, entries int) *network {
+	n := &network{
+		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1_700_000_000, 0),
+		records: make(map[announcer.ID]announcer.Record), loss: 0.01,
+	}
+	n.catalog.DataCentres = []cataloger.DataCentre{{Name: "kano-a"}, {Name: "kano-b"}}
+	for _, name := range services {
+		n.catalog.Services = append(n.catalog.Services, cataloger.Service{Name: name, Kind: cataloger.KindFlow, SprayScope: cataloger.SprayRegion})
+	}
+	for i := range 14 {
+		n.setBackend(0, i, announcer.StateReady, announcer.RampSteps)
+	}
+	for i := range 4 {
+		n.setBackend(1, i, announcer.StateReady, announcer.RampSteps)
+	}
+	for i := range entries {
+		n.nodes = append(n.nodes, &node{name: fmt.Sprintf("entry-%d", i)})
+	}
+	for _, e := range n.nodes {
+		n.startEntry(e)
+	}
+	n.after(0, n.tick)
+	return n
+}
+
+func (n *network) after(d time.Duration, run func()) {
+	n.order++
+	heap.Push(&n.events, event{at: n.now.Add(d), order: n.order, run: run})
+}
+
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.events) > 0 && !n.events[0].at.After(end) {
+		e := heap.Pop(&n.events).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+// delay is the time between two entries: 4 ms, with a tail that reorders messages.
+func (n *network) delay() time.Duration {
+	return 3*time.Millisecond + time.Duration(n.rng.ExpFloat64()*float64(2*time.Millisecond))
+}
+
+// unevenly returns when one entry hears of a change. The hold time of 1 s exceeds it.
+func (n *network) unevenly() time.Duration {
+	return time.Duration(n.rng.Int64N(int64(900 * time.Millisecond)))
+}
+
+// at runs f at an entry, once it is not frozen, unless it is down by then.
+func (n *network) at(e *node, f func()) {
+	machine := e.machine
+	switch {
+	case !e.isUp || machine == nil:
+	case n.now.Before(e.frozenUntil):
+		n.after(e.frozenUntil.Sub(n.now), func() {
+			if e.machine == machine {
+				n.at(e, f)
+			}
+		})
+	default:
+		f()
+	}
+}
+
+func (n *network) tick() {
+	for _, e := range n.nodes {
+		if e.isUp && !n.now.Before(e.frozenUntil) {
+			n.step(e, Tick{})
+		}
+	}
+	n.after(20*time.Millisecond, n.tick)
+}
+
+func (n *network) step(e *node, input Input) {
+	for _, output := range e.machine.Step(n.now, input) {
+		switch out := output.(type) {
+		case StateChanged:
+			if out.Event == EventThawed {
+				n.after(100*time.Millisecond, func() { n.at(e, func() { n.step(e, ViewCurrent{}) }) })
+			}
+		case SendMessage:
+			n.deliver(e, out)
+		case PacketReleased:
+			s, ok := e.held[out.Ticket]
+			if !ok {
+				panic("released a packet that is not held")
+			}
+			delete(e.held, out.Ticket)
+			n.act(e, s, out.Decision)
+		}
+	}
+}
+
+func (n *network) deliver(from *node, out SendMessage) {
+	if n.count {
+		encoded, err := messenger.Envelope{From: from.name, Incarnation: 1, Messages: []messenger.Message{out.Message}}.MarshalCBOR()
+		if err != nil {
+			panic(err)
+		}
+		n.bytes += len(encoded)
+		n.messages++
+	}
+	if n.rng.Float64() < n.loss {
+		return
+	}
+	to := n.nodes[slices.IndexFunc(n.nodes, func(e *node) bool { return e.name == out.To })]
+	n.after(n.delay(), func() {
+		n.at(to, func() { n.step(to, MessageReceived{From: from.name, Message: out.Message}) })
+	})
+}
+
+func (n *network) setBackend(service, host int, state announcer.State, step uint8) {
+	id := announcer.ID{Service: services[service], Host: fmt.Sprintf("host-%d", host)}
+	r := n.records[id]
+	r.ID, r.State, r.RampStep, r.Slots, r.DataCentre = id, state, step, 2, []string{"kano-a", "kano-b"}[host%2]
+	r.Sequence++
+	n.records[id] = r
+	for _, e := range n.nodes {
+		n.after(n.unevenly(), func() { n.at(e, func() { n.hear(e, r) }) })
+	}
+}
+
+func (n *network) joinBackend(service, host int) {
+	for step := range uint8(announcer.RampSteps + 1) {
+		n.after(time.Duration(step)*5*time.Second, func() { n.setBackend(service, host, announcer.StateReady, step) })
+	}
+}
+
+func (n *network) hear(e *node, r announcer.Record) {
+	if old, ok := e.view[r.ID]; ok && old.Sequence >= r.Sequence {
+		return
+	}
+	e.view[r.ID] = r
+	e.ready = [2][]announcer.ID{}
+	for id, known := range e.view {
+		if known.State == announcer.StateReady {
+			e.ready[slices.Index(services[:], id.Service)] = append(e.ready[slices.Index(services[:], id.Service)], id)
+		}
+	}
+	for i := range e.ready {
+		slices.SortFunc(e.ready[i], func(a, b announcer.ID) int { return int(hasher.String(a.Host)>>33) - int(hasher.String(b.Host)>>33) })
+	}
+	n.step(e, RecordsChanged{Changed: []announcer.Record{r}})
+}
+
+func (n *network) startEntry(e *node) {
+	e.isUp, e.frozenUntil = true, time.Time{}
+	config := DefaultConfig(e.name, "kano-a")
+	config.Flows = 10_000
+	e.machine = NewMachine(config, n.now)
+	e.membersVersion = 0
+	e.view, e.held = make(map[announcer.ID]announcer.Record), make(map[uint32]sent)
+	n.step(e, CatalogChanged{Catalog: n.catalog})
+	for _, r := range n.sortedRecords() {
+		n.hear(e, r)
+	}
+	n.spreadMembers(0)
+	n.after(time.Second, func() { n.at(e, func() { n.step(e, ViewCurrent{}) }) })
+}
+
+func (n *network) sortedRecords() []announcer.Record {
+	var records []announcer.Record
+	for _, r := range n.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b announcer.Record) int {
+		return int(hashBackend(a.ID)>>33) - int(hashBackend(b.ID)>>33)
+	})
+	return records
+}
+
+// spreadMembers lets every entry hear unevenly who is up.
+func (n *network) spreadMembers(after time.Duration) {
+	var members []Member
+	for _, e := range n.nodes {
+		if e.isUp {
+			members = append(members, Member{Name: e.name, DataCentre: "kano-a"})
+		}
+	}
+	n.membersVersion++
+	version := n.membersVersion
+	for _, e := range n.nodes {
+		n.after(after+n.unevenly(), func() {
+			n.at(e, func() {
+				if version > e.membersVersion {
+					e.membersVersion = version
+					n.step(e, MembersChanged{Members: members})
+				}
+			})
+		})
+	}
+}
+
+// killEntry stops an entry without notice. The others notice after 4.5 s; until then
+// the fabric's health checks (2 s) still send it packets.
+func (n *network) killEntry(e *node) {
+	n.at(e, func() { e.frozenUntil = n.now.Add(2 * time.Second) })
+	n.after(2*time.Second-time.Millisecond, func() {
+		e.isUp = false
+		n.spreadMembers(2500 * time.Millisecond)
+	})
+}
+
+// stopEntry stops an entry as planned: hand-over, drain, end.
+func (n *network) stopEntry(e *node) {
+	n.at(e, func() { n.step(e, Leave{}) })
+	n.after(12*time.Second, func() {
+		e.isUp = false
+		n.spreadMembers(0)
+	})
+}
--- /dev/null
+++ b/entry/services/placer/step.go
@@ -0,0 +1,180 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+)
+
+// Input is an event for a Machine.
+type Input interface{ isInput() }
+
+// Member is an entry of the region.
+type Member struct {
+	Name       string
+	DataCentre string
+}
+
+type (
+	// RecordsChanged states which backend server records are new or changed, and
+	// which have been removed.
+	RecordsChanged struct {
+		Changed []announcer.Record
+		Removed []announcer.ID
+	}
+
+	// MembersChanged states all live entries of the region, without those that
+	// leave. Whether it includes the receiver does not matter.
+	MembersChanged struct{ Members []Member }
+
+	// CatalogChanged states the configuration in force.
+	CatalogChanged struct{ Catalog cataloger.Catalog }
+
+	// ViewCurrent states that the view has been compared with that of a peer since
+	// the start, or since the Machine reported EventThawed.
+	ViewCurrent struct{}
+
+	// MessageReceived carries a message from another entry.
+	MessageReceived struct {
+		From    string
+		Message messenger.Message
+	}
+
+	// Tick lets time pass. It is due every 20 ms; queries and batches wait for it.
+	Tick struct{}
+
+	// Leave starts a planned stop. LeaveCompleted follows.
+	Leave struct{}
+)
+
+func (RecordsChanged) isInput()  {}
+func (MembersChanged) isInput()  {}
+func (CatalogChanged) isInput()  {}
+func (ViewCurrent) isInput()     {}
+func (MessageReceived) isInput() {}
+func (Tick) isInput()            {}
+func (Leave) isInput()           {}
+
+// Output is an effect that a Machine asks for.
+type Output interface{ isOutput() }
+
+// Event is a change of state.
+type Event string
+
+// Events.
+const (
+	EventReady     Event = "entry is ready to own flows"
+	EventThawed    Event = "clock jumped; relaying until the state is current"
+	EventContested Event = "buckets are contested"
+	EventActivated Event = "table is active"
+	EventInformed  Event = "all digests are known"
+	EventSettled   Event = "buckets are settled"
+)
+
+type (
+	// SendMessage asks to send a message to another entry.
+	SendMessage struct {
+		To      string
+		Message messenger.Message
+	}
+
+	// PacketReleased states the decision about a held packet.
+	PacketReleased struct {
+		Ticket   uint32
+		Decision Decision
+	}
+
+	// StateChanged reports a change of state for the log.
+	StateChanged struct {
+		Event Event
+		// Service is the name of the service, or "".
+		Service string
+		// Buckets is the number of buckets concerned.
+		Buckets int
+	}
+
+	// LeaveCompleted states that the owner records have been handed over.
+	LeaveCompleted struct{}
+)
+
+func (SendMessage) isOutput()    {}
+func (PacketReleased) isOutput() {}
+func (StateChanged) isOutput()   {}
+func (LeaveCompleted) isOutput() {}
+
+// Step handles an input and returns its effects.
+func (m *Machine) Step(now time.Time, input Input) []Output {
+	m.observeClock(now)
+	switch in := input.(type) {
+	case RecordsChanged:
+		m.changeRecords(in)
+	case MembersChanged:
+		m.changeMembers(in.Members)
+	case CatalogChanged:
+		m.changeCatalog(in.Catalog)
+	case ViewCurrent:
+		m.hasView = true
+	case MessageReceived:
+		m.receive(in.From, in.Message)
+	case Tick:
+		m.tick()
+	case Leave:
+		m.leave()
+	}
+	outputs := m.outputs
+	m.outputs = nil
+	return outputs
+}
+
+func (m *Machine) emit(output Output) { m.outputs = append(m.outputs, output) }
+
+func (m *Machine) send(to uint16, message messenger.Message) {
+	m.emit(SendMessage{To: m.entries[to].name, Message: message})
+}
+
+func (m *Machine) receive(name string, message messenger.Message) {
+	from, ok := m.entryByName[name]
+	if !ok || !m.entries[from].isLive || from == self {
+		// Only live members take part. A sender that is not known yet repeats itself.
+		return
+	}
+	switch msg := message.(type) {
+	case messenger.Placements:
+		m.receivePlacements(msg)
+	case messenger.FlowQuery:
+		m.answerQuery(from, msg)
+	case messenger.FlowAnswer:
+		m.receiveAnswer(from, msg)
+	case messenger.Digest:
+		m.receiveDigest(from, msg)
+	case messenger.DigestAck:
+		m.receiveAck(from, msg)
+	case messenger.Standing:
+		m.receiveStanding(from, msg)
+	case messenger.SilenceQuery:
+		m.answerSilence(from, msg)
+	case messenger.SilenceAnswer:
+		m.receiveSilence(from, msg)
+	}
+}
+
+// sweepTicks is the number of ticks in which the whole cache is swept: 3 s.
+const sweepTicks = 150
+
+func (m *Machine) tick() {
+	m.cache.Sweep(m.cache.Size()/sweepTicks+1, m.sec)
+	m.advanceStart()
+	for _, svc := range m.services {
+		m.activate(svc)
+		m.advanceRound(svc)
+	}
+	m.expireExceptions()
+	m.expireAsks()
+	m.sendQueries()
+	m.sendPlacements()
+	m.sendSilenceQuery()
+	m.sendDigests()
+	m.advanceLeave()
+}
--- /dev/null
+++ b/entry/services/placer/traffic_test.go
@@ -0,0 +1,142 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/hasher"
+)
+
+// openFlows opens flows at a rate per second for a time.
+func (n *network) openFlows(rate float64, d, life, gap time.Duration) {
+	for t := time.Duration(0); t < d; t += time.Duration(n.rng.ExpFloat64() * float64(time.Second) / rate) {
+		n.after(t, func() {
+			f := &flow{hash: n.rng.Uint64(), gap: gap, until: n.now.Add(time.Duration(n.rng.ExpFloat64() * float64(life)))}
+			if n.rng.IntN(4) == 0 {
+				f.service = 1
+			}
+			if n.rng.IntN(10) == 0 {
+				f.protocol = ProtocolUDP
+			}
+			n.flows = append(n.flows, f)
+			n.open(f, time.Second)
+		})
+	}
+}
+
+// open sends the SYN and repeats it until the flow is open, and sometimes after.
+func (n *network) open(f *flow, retry time.Duration) {
+	n.spray(f, FlagSYN)
+	n.after(retry, func() {
+		if retry < 8*time.Second && (!f.isOpen || n.rng.IntN(50) == 0) {
+			n.open(f, 2*retry)
+		}
+	})
+}
+
+func (n *network) continueFlow(f *flow) {
+	if n.now.After(f.until) {
+		n.spray(f, FlagFIN)
+		return
+	}
+	n.spray(f, 0)
+	n.after(time.Duration(n.rng.ExpFloat64()*float64(f.gap)), func() { n.continueFlow(f) })
+}
+
+// spray sends a packet of a caller to a random entry that is up.
+func (n *network) spray(f *flow, flags Flags) {
+	n.packets++
+	e := n.nodes[n.rng.IntN(len(n.nodes))]
+	for !e.isUp {
+		e = n.nodes[n.rng.IntN(len(n.nodes))]
+	}
+	n.placeBaselines(e, f)
+	n.at(e, func() { n.arrive(e, sent{flow: f, flags: flags}) })
+}
+
+func (n *network) arrive(e *node, s sent) {
+	index, _ := e.machine.ServiceIndex(services[s.flow.service])
+	n.act(e, s, e.machine.Decide(n.now, Packet{
+		Flow: s.flow.hash, RelayedBy: s.by, Service: index, Protocol: s.flow.protocol, Flags: s.flags,
+	}))
+}
+
+func (n *network) act(e *node, s sent, d Decision) {
+	switch d.Action {
+	case ActionForward:
+		n.reach(s, e.machine.GetBackend(d.Backend).ID)
+	case ActionRelay:
+		if s.by != 0 {
+			panic("relayed a relayed packet")
+		}
+		name := e.machine.GetEntry(d.Entry)
+		to := n.nodes[slices.IndexFunc(n.nodes, func(e *node) bool { return e.name == name })]
+		s.by = HashEntry(e.name)
+		n.after(n.delay(), func() {
+			if !to.isUp {
+				n.lost++
+			}
+			n.at(to, func() { n.arrive(to, s) })
+		})
+	case ActionHold:
+		e.held[d.Ticket] = s
+	case ActionReset:
+		n.resets++
+	case ActionDrop:
+		n.dropped++
+		n.drops[d.Reason]++
+	}
+}
+
+// reach checks a delivered packet and lets the backend server respond.
+func (n *network) reach(s sent, id announcer.ID) {
+	f := s.flow
+	n.delivered++
+	if id.Service != services[f.service] {
+		n.wrongService++
+	}
+	if f.target == (announcer.ID{}) {
+		f.target = id
+	}
+	if f.target != id && !f.isBroken && !f.isExcused {
+		f.isBroken = true
+		n.broken++
+	}
+	if !f.isOpen {
+		f.isOpen = true
+		n.after(10*time.Millisecond, func() { n.continueFlow(f) })
+	}
+	to := n.nodes[n.rng.IntN(len(n.nodes))]
+	n.after(n.delay(), func() {
+		n.at(to, func() {
+			if i, ok := to.machine.BackendIndex(id); ok {
+				to.machine.Observe(n.now, Reply{Flow: f.hash, Backend: i, Protocol: f.protocol})
+			}
+		})
+	})
+}
+
+// placeBaselines places a packet by plain hashing over the view of an entry.
+func (n *network) placeBaselines(e *node, f *flow) {
+	ready := e.ready[f.service]
+	modulo := ready[f.hash%uint64(len(ready))]
+	var rendezvous announcer.ID
+	best := uint64(0)
+	for _, id := range ready {
+		if s := hasher.Pair(hasher.String(id.Host), f.hash); s > best {
+			rendezvous, best = id, s
+		}
+	}
+	note := func(first *announcer.ID, isBroken *bool, broken *int, id announcer.ID) {
+		if *first == (announcer.ID{}) {
+			*first = id
+		}
+		if *first != id && !*isBroken {
+			*isBroken = true
+			*broken++
+		}
+	}
+	note(&f.modulo, &f.isModuloBroken, &n.brokenModulo, modulo)
+	note(&f.rendezvous, &f.isRendezvousBroken, &n.brokenRendezvous, rendezvous)
+}
