Assemble the entry: packet path on the placement and the membership

Cause: the parts of the entry were not joined. Change: forwarder (decode, place, translate, send), decider (one goroutine for the packet path), a watcher that passes on view changes, settings, and a stop that hands over before it drains. A service with both IP families has a table for each, because a backend server has one address. Ruled out: trusting the relay mark of any sender; only datagrams from the packet address of a known entry may carry it.

--- /dev/null
+++ b/entry/cmd/entry/services.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/routers/decider"
+	"github.com/redwingledge/redwingledge/entry/routers/peers"
+	"github.com/redwingledge/redwingledge/entry/routers/receiver"
+	"github.com/redwingledge/redwingledge/entry/services/forwarder"
+	"github.com/redwingledge/redwingledge/entry/services/placer"
+	"github.com/redwingledge/redwingledge/shared/modules/registrar"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// Names under which services register.
+const (
+	servicePackets = "packets"
+	servicePeers   = "peers"
+	serviceDecider = "decider"
+)
+
+// handOverTimeout bounds the hand-over of owner records at a planned stop.
+const handOverTimeout = 10 * time.Second
+
+// readyPoll is the time between two checks of readiness.
+const readyPoll = 100 * time.Millisecond
+
+// Kinds of messages that the placement handles.
+const (
+	firstPlacementKind messenger.Kind = 50
+	lastPlacementKind  messenger.Kind = 99
+)
+
+// services assembles the entry. Hooks start in this order and stop in reverse.
+func services() fx.Option {
+	return fx.Options(
+		fx.Provide(loadTLS),
+		fx.Invoke(startPackets, startPeers, startDecider, startViews, startReadiness),
+	)
+}
+
+func loadTLS(s settings) (*tls.Config, error) { return s.Load() }
+
+// startPackets binds the packet socket. The decider starts it.
+func startPackets(lc fx.Lifecycle, s settings, registry *registrar.Registry, counters *reporter.Counters) error {
+	socket, err := receiver.Listen(s.PacketAddress, counters)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.Hook{OnStop: socket.Close})
+	return registry.Register(servicePackets, socket)
+}
+
+// startPeers serves the gRPC address and takes part in the membership.
+func startPeers(lc fx.Lifecycle, s settings, config *tls.Config, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) error {
+	socket, err := registrar.Lookup[*receiver.Socket](registry, servicePackets)
+	if err != nil {
+		return err
+	}
+	seed := s.Seed
+	if seed == 0 {
+		seed = uint64(clock.Now().UnixNano())
+	}
+	service := peers.New(peers.Options{
+		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, PacketAddress: socket.Addr(),
+		Seeds: s.Seeds, Control: s.Control, Lease: s.Lease, TLS: config, Seed: seed,
+		Timer: clock, Counters: counters, Logger: logger,
+	})
+	server, err := transporter.Listen(s.GRPCAddress, config, service.GRPCService())
+	if err != nil {
+		return err
+	}
+	address, err := netip.ParseAddrPort(server.Addr())
+	if err != nil {
+		return fmt.Errorf("read the bound gRPC address: %w", err)
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(); err != nil {
+					logger.Error("gRPC server failed", "error", err)
+				}
+			}()
+			service.Start(address)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			service.Stop()
+			server.GracefulStop(ctx)
+			return nil
+		},
+	})
+	return registry.Register(servicePeers, service)
+}
+
+// startDecider runs the packet path.
+func startDecider(lc fx.Lifecycle, s settings, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) error {
+	socket, errSocket := registrar.Lookup[*receiver.Socket](registry, servicePackets)
+	peering, errPeers := registrar.Lookup[*peers.Service](registry, servicePeers)
+	if err := errors.Join(errSocket, errPeers); err != nil {
+		return err
+	}
+	config := placer.DefaultConfig(s.Name, s.DataCentre)
+	config.Flows, config.Hold = s.Flows, s.Hold
+	machine := placer.NewMachine(config, clock.Now())
+	path := forwarder.New(forwarder.Settings{Name: s.Name, VNI: s.VNI, Fabric: s.FabricAddress}, machine, socket, counters)
+	packets := decider.New(path, machine, peering, clock, logger, counters)
+	peering.RegisterHandler(firstPlacementKind, lastPlacementKind, packets.HandleMessage)
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			packets.Start(ctx)
+			socket.Start(packets.HandleDatagram)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			packets.Stop()
+			return nil
+		},
+	})
+	return registry.Register(serviceDecider, packets)
+}
+
+// startViews passes the view from the membership to the packet path.
+func startViews(lc fx.Lifecycle, registry *registrar.Registry) error {
+	packets, errDecider := registrar.Lookup[*decider.Decider](registry, serviceDecider)
+	peering, errPeers := registrar.Lookup[*peers.Service](registry, servicePeers)
+	if err := errors.Join(errDecider, errPeers); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				packets.Watch(ctx, peering)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-done
+			return nil
+		},
+	})
+	return nil
+}
+
+// startReadiness reports ready once packets can be placed. It stops first: the
+// fabric is told to hand over no more packets, what the entry knows goes to its
+// successors, and packets are forwarded for the drain delay.
+func startReadiness(lc fx.Lifecycle, s settings, registry *registrar.Registry, clock timer.Service, readiness *reporter.Readiness) error {
+	packets, errDecider := registrar.Lookup[*decider.Decider](registry, serviceDecider)
+	peering, errPeers := registrar.Lookup[*peers.Service](registry, servicePeers)
+	if err := errors.Join(errDecider, errPeers); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	ticks := clock.Subscribe("readiness", readyPoll)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				reportReadiness(ctx, ticks, packets, readiness)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			<-done
+			ticks.Cancel()
+			readiness.Set(false)
+			drained := clock.Subscribe("drain", max(s.DrainDelay, time.Millisecond))
+			defer drained.Cancel()
+			handOver, cancelHandOver := context.WithTimeout(stop, handOverTimeout)
+			defer cancelHandOver()
+			packets.Leave(handOver)
+			peering.Leave(stop)
+			select {
+			case <-drained.C:
+			case <-stop.Done():
+			}
+			return nil
+		},
+	})
+	return nil
+}
+
+func reportReadiness(ctx context.Context, ticks *timer.Subscription, packets *decider.Decider, readiness *reporter.Readiness) {
+	for {
+		select {
+		case <-ticks.C:
+			readiness.Set(packets.IsReady())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/services/forwarder/forwarder_test.go
@@ -0,0 +1,176 @@
+package forwarder_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/entry/services/forwarder"
+	"github.com/redwingledge/redwingledge/entry/services/placer"
+	"github.com/redwingledge/redwingledge/entry/services/translator"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+)
+
+const vni = 9
+
+var (
+	fabric   = netip.MustParseAddrPort("127.0.0.1:1")
+	peerAddr = netip.MustParseAddrPort("127.0.0.1:2")
+	caller4  = netip.MustParseAddrPort("203.0.113.5:5555")
+	caller6  = netip.MustParseAddrPort("[2001:db8:5::5]:5555")
+	address4 = netip.MustParseAddrPort("192.0.2.1:80")
+	address6 = netip.MustParseAddrPort("[2001:db8::1]:80")
+	backend4 = netip.MustParseAddrPort("10.0.0.1:8080")
+	backend6 = netip.MustParseAddrPort("[2001:db8:a::1]:8080")
+)
+
+// outbox records what is sent.
+type outbox struct {
+	to   []netip.AddrPort
+	data [][]byte
+}
+
+func (o *outbox) Send(to netip.AddrPort, write func(dst []byte) []byte) {
+	o.to = append(o.to, to)
+	o.data = append(o.data, write(nil))
+}
+
+type fixture struct {
+	*forwarder.Forwarder
+	out      outbox
+	counters *reporter.Counters
+	now      time.Time
+}
+
+// newFixture returns an entry that is alone in its region, with one TCP service
+// of both IP families.
+func newFixture(t *testing.T, records ...announcer.Record) *fixture {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	f := &fixture{counters: reporter.NewCounters(), now: now}
+	machine := placer.NewMachine(placer.DefaultConfig("entry-1", "a"), now)
+	f.Forwarder = forwarder.New(forwarder.Settings{Name: "entry-1", VNI: vni, Fabric: fabric}, machine, &f.out, f.counters)
+	f.HandleInput(now, forwarder.MembersChanged{Members: []forwarder.Member{{Name: "entry-1", DataCentre: "a"}}})
+	f.HandleInput(now, forwarder.RecordsChanged{Changed: records})
+	f.HandleInput(now, forwarder.CatalogChanged{Catalog: cataloger.Catalog{
+		Version:     1,
+		DataCentres: []cataloger.DataCentre{{Name: "a", Region: "r"}},
+		Services: []cataloger.Service{{
+			Name: "web", Kind: cataloger.KindFlow, Protocol: cataloger.ProtocolTCP, SprayScope: cataloger.SprayRegion,
+			Addresses: []netip.AddrPort{address4, address6},
+		}},
+	}})
+	f.HandleInput(now, forwarder.PlacerInput{Input: placer.ViewCurrent{}})
+	for range 500 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.HandleInput(f.now, forwarder.PlacerInput{Input: placer.Tick{}})
+	}
+	require.True(t, machine.IsReady())
+	return f
+}
+
+func record(service, host string, address netip.AddrPort) announcer.Record {
+	return announcer.Record{
+		Announcement: announcer.Announcement{
+			ID: announcer.ID{Service: service, Host: host}, Address: address, DataCentre: "a",
+			Slots: 2, Connections: 2000, Incarnation: 1, Sequence: 1, State: announcer.StateReady,
+		},
+		RampStep: announcer.RampSteps,
+	}
+}
+
+func segment(t *testing.T, from, to netip.AddrPort, syn bool) []byte {
+	t.Helper()
+	tcp := &layers.TCP{SrcPort: layers.TCPPort(from.Port()), DstPort: layers.TCPPort(to.Port()), SYN: syn, ACK: !syn}
+	buffer := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if from.Addr().Is4() {
+		ip := &layers.IPv4{Version: 4, TTL: 5, Protocol: layers.IPProtocolTCP, SrcIP: from.Addr().AsSlice(), DstIP: to.Addr().AsSlice()}
+		require.NoError(t, tcp.SetNetworkLayerForChecksum(ip))
+		require.NoError(t, gopacket.SerializeLayers(buffer, options, ip, tcp))
+	} else {
+		ip := &layers.IPv6{Version: 6, HopLimit: 5, NextHeader: layers.IPProtocolTCP, SrcIP: from.Addr().AsSlice(), DstIP: to.Addr().AsSlice()}
+		require.NoError(t, tcp.SetNetworkLayerForChecksum(ip))
+		require.NoError(t, gopacket.SerializeLayers(buffer, options, ip, tcp))
+	}
+	return buffer.Bytes()
+}
+
+func (f *fixture) handle(inner []byte, relayedBy uint64, remote netip.AddrPort) {
+	f.HandleDatagram(f.now, translator.Encode(nil, vni, inner, relayedBy), remote)
+}
+
+// requireSent asserts that the last datagram carries a packet between the given
+// addresses.
+func (f *fixture) requireSent(t *testing.T, to, source, destination netip.AddrPort) {
+	t.Helper()
+	require.NotEmpty(t, f.out.to, f.counters.String())
+	last := len(f.out.to) - 1
+	require.Equal(t, to, f.out.to[last])
+	var packet translator.Packet
+	require.Equal(t, translator.ReasonNone, translator.NewDecoder(vni).Decode(f.out.data[last], &packet))
+	require.Equal(t, source, packet.Source)
+	require.Equal(t, destination, packet.Destination)
+}
+
+// Guards against a backend server of the other IP family, whose address cannot
+// be written into the packet, and against replies without the service address.
+func TestForwardBothFamilies(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, record("web", "h4", backend4), record("web", "h6", backend6))
+	f.handle(segment(t, caller4, address4, true), 0, fabric)
+	f.requireSent(t, fabric, caller4, backend4)
+	f.handle(segment(t, caller6, address6, true), 0, fabric)
+	f.requireSent(t, fabric, caller6, backend6)
+	f.handle(segment(t, backend4, caller4, false), 0, fabric)
+	f.requireSent(t, fabric, address4, caller4)
+	f.handle(segment(t, backend6, caller6, false), 0, fabric)
+	f.requireSent(t, fabric, address6, caller6)
+	observations := f.TakeObservations()
+	require.Len(t, observations, 2)
+	require.Equal(t, "web", observations[0].ID.Service)
+}
+
+// Guards against packets that leave the entry although they belong to no service,
+// or that a process which is not an entry marks as relayed.
+func TestDrops(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, record("web", "h4", backend4), record("other", "x", netip.MustParseAddrPort("10.0.0.9:1")))
+	for reason, handle := range map[translator.Reason]func(){
+		translator.ReasonUnknownAddress: func() {
+			f.handle(segment(t, caller4, netip.MustParseAddrPort("192.0.2.1:81"), true), 0, fabric)
+		},
+		translator.ReasonRelayUnknown: func() { f.handle(segment(t, caller4, address4, true), 77, peerAddr) },
+		translator.ReasonNoBackendServer: func() {
+			f.handle(segment(t, caller6, address6, true), 0, fabric)
+		},
+		translator.ReasonTruncated: func() { f.HandleDatagram(f.now, []byte{1}, fabric) },
+	} {
+		handle()
+		require.Empty(t, f.out.to, reason.String())
+		require.Contains(t, strings.ReplaceAll(f.counters.String(), " ", ""), `"packets_dropped_`+reason.String()+`":1`)
+	}
+	f.handle(segment(t, netip.MustParseAddrPort("10.0.0.9:1"), caller4, false), 0, fabric)
+	require.Empty(t, f.out.to, "a record of an unknown service must not open a way to callers")
+}
+
+// Guards against a removed backend server that still gets or sends packets.
+func TestRemovedRecord(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, record("web", "h4", backend4))
+	f.HandleInput(f.now, forwarder.RecordsReplaced{})
+	for range 500 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.HandleInput(f.now, forwarder.PlacerInput{Input: placer.Tick{}})
+	}
+	f.handle(segment(t, caller4, address4, true), 0, fabric)
+	f.handle(segment(t, backend4, caller4, false), 0, fabric)
+	require.Empty(t, f.out.to)
+}
--- a/entry/services/resolver/resolver.go
+++ b/entry/services/resolver/resolver.go
@@ -3,6 +3,8 @@
 package resolver
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -48,7 +50,7 @@
 		if service.Kind != cataloger.KindFlow {
 			continue
 		}
-		protocols[service.Name] = protocolNumber(service.Protocol)
+		protocols[service.Name] = ProtocolNumber(service.Protocol)
 		addresses[service.Name] = service.Addresses
 		for _, address := range service.Addresses {
 			table.services[Endpoint{address, protocols[service.Name]}] = service.Name
@@ -87,6 +89,9 @@
 	return owner, ok
 }
 
+// Owners iterates over all endpoints of backend servers.
+func (t *Table) Owners() iter.Seq2[Endpoint, Owner] { return maps.All(t.owners) }
+
 // FindAddress returns the address of a backend server. It returns false for a
 // backend server that is unknown or whose address belongs to another one.
 func (t *Table) FindAddress(id announcer.ID) (netip.AddrPort, bool) {
@@ -98,7 +103,8 @@
 // backend server or to a service.
 func (t *Table) Conflicts() int { return t.conflicts }
 
-func protocolNumber(protocol cataloger.Protocol) translator.Protocol {
+// ProtocolNumber returns the IP protocol number of a protocol name.
+func ProtocolNumber(protocol cataloger.Protocol) translator.Protocol {
 	if protocol == cataloger.ProtocolUDP {
 		return translator.ProtocolUDP
 	}
--- a/entry/services/translator/packet.go
+++ b/entry/services/translator/packet.go
@@ -71,6 +71,8 @@
 	ReasonTakenOut
 	ReasonNotReady
 	ReasonQueueFull
+	ReasonRelayUnknown
+	ReasonAddressConflict
 	reasonCount
 )
 
@@ -90,6 +92,8 @@
 	ReasonTakenOut:        "taken_out",
 	ReasonNotReady:        "not_ready",
 	ReasonQueueFull:       "queue_full",
+	ReasonRelayUnknown:    "relay_unknown",
+	ReasonAddressConflict: "address_conflict",
 }
 
 // String returns the name of the reason in snake case, as counters use it.
