Serve requests through the gateway with outcomes and claims

Cause: the gateway program was a stub. Ruled out: one ring for claims and slots, because a burst of claims would delay slot leases; HTTP/2 to backend servers, because per-address HTTP/1.1 pools can be retired at once. Change: outcomes and problem documents, claim state machine at a majority of the group, owner-granted slot leases with a cold limit, round-robin member queues, dispatcher with retry budget, HTTP and gRPC servers, file view source, settings, graceful stop.

--- a/gateway/cmd/gateway/main.go
+++ b/gateway/cmd/gateway/main.go
@@ -1,27 +1,25 @@
-// Command gateway is described in docs/design.md.
+// Command gateway serves requests over HTTP and dispatches them to backend
+// servers. See docs/requests.md.
 package main
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 
-	"github.com/alecthomas/kong"
+	"go.uber.org/fx"
 
+	"github.com/redwingledge/redwingledge/gateway/routers"
+	"github.com/redwingledge/redwingledge/gateway/services/watcher"
+	"github.com/redwingledge/redwingledge/shared/modules/registrar"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/setting"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
-type settings struct {
-	runner.Common `embed:""`
-
-	Version kong.VersionFlag `name:"version" help:"Print the version and exit."`
-}
-
-// Check adds a problem for each wrong value.
-func (s *settings) Check(problems *setting.Problems) { s.CheckCommon(problems) }
-
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "gateway:", err)
@@ -36,5 +34,29 @@
 	} else if err != nil {
 		return err
 	}
-	return runner.Run(context.Background(), s.Common, os.Stderr)
+	return runner.Run(context.Background(), s.Common, os.Stderr, fx.Supply(&s), fx.Provide(newGateway), fx.Invoke(start))
+}
+
+func newGateway(s *settings, clock timer.Service, counters *reporter.Counters, readiness *reporter.Readiness,
+	registry *registrar.Registry, logger *slog.Logger,
+) (*routers.Gateway, error) {
+	config := s.config()
+	var err error
+	if config.TLS, err = s.Load(); err != nil {
+		return nil, err
+	}
+	config.Source = watcher.NewFileSource(s.ViewFile)
+	config.Clock, config.Counters, config.Readiness = clock, counters, readiness
+	config.Registry, config.Logger = registry, logger
+	return routers.NewGateway(config)
+}
+
+func start(lc fx.Lifecycle, gateway *routers.Gateway) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			gateway.Start()
+			return nil
+		},
+		OnStop: gateway.Stop,
+	})
 }
--- /dev/null
+++ b/gateway/models/messenger/messenger.go
@@ -0,0 +1,181 @@
+// Package messenger defines the messages between gateways (gRPC service
+// redwingledge.gateway.Peer, encoded with CBOR). Times are sent as durations,
+// because the clocks of gateways may differ.
+package messenger
+
+import (
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// ServiceName is the full name of the gRPC service.
+const ServiceName = "redwingledge.gateway.Peer"
+
+// Methods of the gRPC service.
+const (
+	MethodClaim      = "Claim"
+	MethodRecord     = "Record"
+	MethodGrantSlots = "GrantSlots"
+	MethodHandOver   = "HandOver"
+)
+
+// Key identifies a non-idempotent request.
+type Key struct {
+	Service string `cbor:"service"`
+	Member  string `cbor:"member"`
+	Key     string `cbor:"key"`
+}
+
+// Attempt identifies one try of a gateway to claim a key.
+type Attempt struct {
+	Gateway string `cbor:"gateway"`
+	ID      uint64 `cbor:"id"`
+}
+
+// ClaimRequest asks a member of the claim group for the key.
+type ClaimRequest struct {
+	Key         Key      `cbor:"key"`
+	Attempt     Attempt  `cbor:"attempt"`
+	Fingerprint [32]byte `cbor:"fingerprint"`
+	// Lists are the hashes of the gateway lists that the claimant uses.
+	Lists []uint64 `cbor:"lists"`
+}
+
+// ClaimStatus is a member's answer to a ClaimRequest.
+type ClaimStatus uint8
+
+// Answers to a ClaimRequest.
+const (
+	// ClaimGranted means that the member keeps the claim for this attempt.
+	ClaimGranted ClaimStatus = 1
+	// ClaimTaken means that another attempt has the key at this member.
+	ClaimTaken ClaimStatus = 2
+	// ClaimRecovering means that the member may have forgotten claims.
+	ClaimRecovering ClaimStatus = 3
+	// ClaimFull means that the member has no claim on the key and no room.
+	ClaimFull ClaimStatus = 4
+	// ClaimStale means that the claimant lacks a gateway list.
+	ClaimStale ClaimStatus = 5
+)
+
+// ClaimAnswer answers a ClaimRequest.
+type ClaimAnswer struct {
+	Status ClaimStatus `cbor:"status"`
+	// Claims are the attempts that hold the key at the member.
+	Claims []Claim          `cbor:"claims,omitempty"`
+	Done   *recorder.Stored `cbor:"done,omitempty"`
+	// DoneBy is the attempt whose outcome Done is.
+	DoneBy Claim `cbor:"done_by,omitempty"`
+	// Lists are the gateway lists that the member uses, if the claim is stale.
+	Lists []List `cbor:"lists,omitempty"`
+}
+
+// Claim is an attempt that holds a key, without an outcome yet.
+type Claim struct {
+	Attempt     Attempt  `cbor:"attempt"`
+	Fingerprint [32]byte `cbor:"fingerprint"`
+	// Age is the time since the member granted the claim.
+	Age time.Duration `cbor:"age"`
+}
+
+// List is a gateway list from which claim groups are chosen.
+type List struct {
+	Gateways []viewer.Gateway `cbor:"gateways"`
+}
+
+// RecordRequest records the outcome of an attempt, or releases its claim if it
+// was never dispatched and never will be.
+type RecordRequest struct {
+	Key         Key              `cbor:"key"`
+	Attempt     Attempt          `cbor:"attempt"`
+	Fingerprint [32]byte         `cbor:"fingerprint"`
+	Release     bool             `cbor:"release,omitempty"`
+	Outcome     *recorder.Stored `cbor:"outcome,omitempty"`
+}
+
+// RecordAnswer acknowledges a RecordRequest.
+type RecordAnswer struct{}
+
+// HeldKey is the state of a key at a member of its claim group.
+type HeldKey struct {
+	Key    Key              `cbor:"key"`
+	Claims []Claim          `cbor:"claims,omitempty"`
+	Done   *recorder.Stored `cbor:"done,omitempty"`
+	DoneBy Claim            `cbor:"done_by,omitempty"`
+	// Remaining is the time until the member forgets the key.
+	Remaining time.Duration `cbor:"remaining"`
+}
+
+// HandOverRequest pushes keys to a peer or asks for a page of the peer's keys.
+type HandOverRequest struct {
+	From string    `cbor:"from"`
+	Keys []HeldKey `cbor:"keys,omitempty"`
+	// Copy asks for the keys after the cursor whose group includes From.
+	Copy   bool   `cbor:"copy,omitempty"`
+	Cursor uint64 `cbor:"cursor,omitempty"`
+}
+
+// HandOverAnswer answers a HandOverRequest.
+type HandOverAnswer struct {
+	// Epoch identifies the process of the peer; cursors are only valid within it.
+	Epoch      uint64    `cbor:"epoch,omitempty"`
+	Recovering bool      `cbor:"recovering,omitempty"`
+	Keys       []HeldKey `cbor:"keys,omitempty"`
+	// Cursor is where the next page starts. More is set if there is one.
+	Cursor uint64 `cbor:"cursor,omitempty"`
+	More   bool   `cbor:"more,omitempty"`
+	Lists  []List `cbor:"lists,omitempty"`
+}
+
+// GrantRequest asks the owner of backend servers for slots and reports results.
+type GrantRequest struct {
+	From string `cbor:"from"`
+	// Epoch identifies the process that asks.
+	Epoch uint64 `cbor:"epoch"`
+	// Sequence grows with each request of one process.
+	Sequence uint64   `cbor:"sequence"`
+	Demands  []Demand `cbor:"demands"`
+}
+
+// Demand is what a gateway has and wants of one backend server.
+type Demand struct {
+	ID announcer.ID `cbor:"id"`
+	// Held is the number of slots that the gateway may be using.
+	Held int `cbor:"held"`
+	// Want is the number of slots that the gateway has work for.
+	Want int `cbor:"want"`
+	// Total is the number of slots of the whole service that the gateway may
+	// be using; owners prefer gateways with few.
+	Total  int    `cbor:"total"`
+	Report Report `cbor:"report,omitempty"`
+}
+
+// Report counts results since the last request.
+type Report struct {
+	Answers  int `cbor:"answers,omitempty"`
+	Sheds    int `cbor:"sheds,omitempty"`
+	Failures int `cbor:"failures,omitempty"`
+	// Latency is the sum over the answers.
+	Latency time.Duration `cbor:"latency,omitempty"`
+}
+
+// GrantAnswer answers a GrantRequest.
+type GrantAnswer struct {
+	// Refused is set if the sequence is old; nothing was changed then.
+	Refused bool    `cbor:"refused,omitempty"`
+	Grants  []Grant `cbor:"grants"`
+}
+
+// Grant is the number of slots that a gateway may use until the lease ends. The
+// lease counts from when the gateway sent its request.
+type Grant struct {
+	ID    announcer.ID  `cbor:"id"`
+	Slots int           `cbor:"slots"`
+	Lease time.Duration `cbor:"lease"`
+	// Waiting is set by a new owner that does not grant yet. Slots granted by
+	// the former owner keep their lease.
+	Waiting bool `cbor:"waiting,omitempty"`
+}
--- /dev/null
+++ b/gateway/models/recorder/outcome.go
@@ -0,0 +1,156 @@
+// Package recorder defines the outcomes of requests and the problem documents
+// that report them to callers.
+package recorder
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reason is a machine-readable cause of an outcome.
+type Reason string
+
+// Reasons of outcomes that are not Completed.
+const (
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonDeadline        Reason = "deadline"
+	ReasonNoBackend       Reason = "no-backend-server"
+	ReasonNoMajority      Reason = "no-claim-majority"
+	ReasonClaimsFull      Reason = "claims-full"
+	ReasonKeyReused       Reason = "key-reused"
+	ReasonInProgress      Reason = "in-progress"
+	ReasonEarlierAttempt  Reason = "earlier-attempt"
+	ReasonStopping        Reason = "stopping"
+	ReasonBadRequest      Reason = "bad-request"
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonConnectFailed   Reason = "connect-failed"
+	ReasonShed            Reason = "shed"
+	ReasonUpstreamFailed  Reason = "upstream-failed"
+	ReasonUpstreamTimeout Reason = "upstream-timeout"
+	ReasonCallerGone      Reason = "caller-gone"
+	ReasonNotKept         Reason = "response-not-kept"
+)
+
+// Outcome is the result of one request: Completed, RefusedNotRun,
+// FailedMayHaveRun or Cancelled.
+type Outcome interface{ isOutcome() }
+
+// Completed is the outcome of a request whose whole response is known.
+type Completed struct {
+	Response Response
+}
+
+// RefusedNotRun is the outcome of a request of which no byte can have reached a
+// backend server, or which the backend server itself reported as not run.
+type RefusedNotRun struct {
+	Reason Reason
+	// RetryAfter is a hint for the caller; 0 means none.
+	RetryAfter time.Duration
+}
+
+// FailedMayHaveRun is the outcome of a request that may have been run.
+type FailedMayHaveRun struct {
+	Reason Reason
+}
+
+// Cancelled is the outcome of a request that its caller gave up.
+type Cancelled struct {
+	// MayHaveRun is set if the request was dispatched.
+	MayHaveRun bool
+}
+
+func (Completed) isOutcome()        {}
+func (RefusedNotRun) isOutcome()    {}
+func (FailedMayHaveRun) isOutcome() {}
+func (Cancelled) isOutcome()        {}
+
+// Response is the response of a backend server as kept for resends.
+type Response struct {
+	Status int                 `cbor:"status"`
+	Header map[string][]string `cbor:"header,omitempty"`
+	Body   []byte              `cbor:"body,omitempty"`
+	// NotKept is set if the body was too large to keep.
+	NotKept bool `cbor:"not_kept,omitempty"`
+}
+
+// Stored is the form in which outcomes are recorded at the claim group. Only
+// outcomes of dispatched requests are recorded.
+type Stored struct {
+	Completed *Response `cbor:"completed,omitempty"`
+	// MayHaveRun is the reason of a FailedMayHaveRun or Cancelled outcome.
+	MayHaveRun Reason `cbor:"may_have_run,omitempty"`
+}
+
+// NewStored converts the outcome of a dispatched request. It returns false for
+// a request that was not run, whose claim is released instead.
+func NewStored(outcome Outcome) (Stored, bool) {
+	switch o := outcome.(type) {
+	case Completed:
+		return Stored{Completed: &o.Response}, true
+	case FailedMayHaveRun:
+		return Stored{MayHaveRun: o.Reason}, true
+	case Cancelled:
+		return Stored{MayHaveRun: ReasonCallerGone}, o.MayHaveRun
+	case RefusedNotRun:
+		return Stored{}, false
+	default:
+		return Stored{MayHaveRun: ReasonUpstreamFailed}, true
+	}
+}
+
+// Outcome converts back what a resend is answered with.
+func (s Stored) Outcome() Outcome {
+	if s.Completed != nil {
+		return Completed{Response: *s.Completed}
+	}
+	return FailedMayHaveRun{Reason: s.MayHaveRun}
+}
+
+// Size returns the bytes that the stored outcome takes, roughly.
+func (s Stored) Size() int {
+	size := 64
+	if s.Completed == nil {
+		return size
+	}
+	size += len(s.Completed.Body)
+	for name, values := range s.Completed.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + 32
+		}
+	}
+	return size
+}
+
+// WithoutBody returns a copy without the body of the response, for a store
+// that has no room for it.
+func (s Stored) WithoutBody() Stored {
+	if s.Completed == nil {
+		return s
+	}
+	response := Response{Status: s.Completed.Status, NotKept: true}
+	return Stored{Completed: &response}
+}
+
+// statusOf returns the HTTP status that reports the reason.
+func statusOf(reason Reason) int {
+	switch reason {
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonUnknownService:
+		return http.StatusNotFound
+	case ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case ReasonInProgress, ReasonEarlierAttempt, ReasonNotKept:
+		return http.StatusConflict
+	case ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case ReasonUpstreamFailed:
+		return http.StatusBadGateway
+	case ReasonUpstreamTimeout, ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case ReasonCallerGone:
+		return 499 // no registered status; the caller does not read it
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/gateway/routers/gateway_test.go
@@ -0,0 +1,144 @@
+package routers_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+)
+
+// Guards against a resend that runs again, through the same gateway or another
+// one, and against one that gets another answer than the first.
+func TestResendGetsFirstOutcome(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 3, b)
+	first := c.send(t, 0, http.MethodPost, "order-1", "key-1", nil)
+	require.NoError(t, first.err)
+	require.Equal(t, "ran order-1", first.body)
+	require.Equal(t, "/path/x%2Fy?q=1", first.header.Get("Echo-Path"))
+	for i := range 3 {
+		again := c.send(t, i, http.MethodPost, "order-1", "key-1", nil)
+		require.Equal(t, first.body, again.body)
+		require.Equal(t, recorder.ValueCompleted, again.outcome)
+	}
+	other := c.send(t, 1, http.MethodPost, "order-2", "key-1", nil)
+	require.Equal(t, http.StatusUnprocessableEntity, other.status)
+	require.Equal(t, recorder.ValueNotRun, other.outcome)
+	require.Equal(t, 1, b.runsOf("order-1"))
+	require.Equal(t, 0, b.runsOf("order-2"))
+}
+
+// Guards against two gateways that run the same key at the same time.
+func TestConcurrentSendsRunOnce(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 3, b)
+	var done sync.WaitGroup
+	for i := range 9 {
+		done.Go(func() {
+			a := c.send(t, i%3, http.MethodPost, "order", "key", nil)
+			if a.err != nil || a.status != http.StatusOK {
+				t.Errorf("got status %d, error %v, %s", a.status, a.err, a.body)
+			}
+		})
+	}
+	done.Wait()
+	require.Equal(t, 1, b.runsOf("order"))
+}
+
+// Guards against more concurrent requests at a backend server than its slots,
+// summed over all gateways, and against shed requests that callers see.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 3, b)
+	var done sync.WaitGroup
+	for i := range 60 {
+		done.Go(func() {
+			if a := c.send(t, i%3, http.MethodGet, "", "", nil); a.status != http.StatusOK {
+				t.Errorf("got status %d, error %v, %s", a.status, a.err, a.body)
+			}
+		})
+	}
+	done.Wait()
+	require.LessOrEqual(t, b.peak.Load(), int64(2))
+}
+
+// Guards against a truncated response that looks complete, in HTTP/1.1 with and
+// without a length.
+func TestTruncatedResponseAbortsConnection(t *testing.T) {
+	t.Parallel()
+	for _, length := range []string{"100000", ""} {
+		b := newBackend(t)
+		c := newCluster(t, 1, b)
+		b.handler = func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			_, _ = w.Write(make([]byte, 50000))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}
+		require.Error(t, c.send(t, 0, http.MethodPost, "cut", "key", nil).err)
+		again := c.send(t, 0, http.MethodPost, "cut", "key", nil)
+		require.Equal(t, recorder.ValueMayHaveRun, again.outcome)
+		require.Equal(t, 1, b.runsOf("cut"))
+	}
+}
+
+// Guards against a backend server that accepts and never answers: the deadline
+// holds, the outcome is "may have run", and the key does not run again.
+func TestStalledBackendEndsAtDeadline(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 1, b)
+	b.handler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	start := time.Now()
+	header := http.Header{"Request-Timeout": {"0.3"}}
+	a := c.send(t, 0, http.MethodPost, "stall", "key", header)
+	require.Equal(t, http.StatusGatewayTimeout, a.status)
+	require.Equal(t, recorder.ValueMayHaveRun, a.outcome)
+	require.Less(t, time.Since(start), 2*time.Second)
+	require.Eventually(t, func() bool { return b.open.Load() == 0 }, time.Second, time.Millisecond, "the request must be cancelled downstream")
+	a = c.send(t, 0, http.MethodPost, "stall", "key", header)
+	require.Equal(t, recorder.ValueMayHaveRun, a.outcome)
+	require.Equal(t, 1, b.runsOf("stall"))
+}
+
+// Guards against false reports for a backend server that cannot be reached at
+// all: nothing can have run.
+func TestUnreachableBackendIsNotRun(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 1, b)
+	b.server.CloseClientConnections()
+	b.server.Close()
+	a := c.send(t, 0, http.MethodPost, "x", "", http.Header{"Request-Timeout": {"0.5"}})
+	require.Equal(t, recorder.ValueNotRun, a.outcome)
+}
+
+// Guards against requests that a planned stop cuts.
+func TestStopFinishesAcceptedRequests(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 3, b)
+	b.delay = 200 * time.Millisecond
+	var done sync.WaitGroup
+	for range 4 {
+		done.Go(func() {
+			if a := c.send(t, 0, http.MethodPost, "x", "", nil); a.status != http.StatusOK {
+				t.Errorf("got status %d, error %v, %s", a.status, a.err, a.body)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, c.gateways[0].Stop(context.Background()))
+	done.Wait()
+}
--- /dev/null
+++ b/gateway/routers/server.go
@@ -0,0 +1,250 @@
+package routers
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/messenger"
+	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes caller connections without requests.
+	idleTimeout = 2 * time.Minute
+	// pingTimeout is the silence on an HTTP/2 connection after which a ping is
+	// sent, and the wait for its answer.
+	pingTimeout = 15 * time.Second
+	maxStreams  = 1000
+)
+
+// Claims gives out claims on keys.
+type Claims interface {
+	Claim(ctx context.Context, key messenger.Key, fingerprint [32]byte, deadline time.Time) (uint64, recorder.Outcome)
+	Finish(id uint64, outcome recorder.Outcome)
+}
+
+// Settings are the settings of a Server.
+type Settings struct {
+	Listen netip.AddrPort
+	// MemberHeader names the header with the member.
+	MemberHeader string
+	// MemberFromCertificate takes the member from the client certificate only.
+	MemberFromCertificate bool
+	DefaultTimeout        time.Duration
+	MaxTimeout            time.Duration
+	// MaxBody bounds request bodies, in bytes.
+	MaxBody int64
+	// MaxKept bounds response bodies that are kept for resends, in bytes.
+	MaxKept int
+	// MaxRequests bounds the requests that are open at a time.
+	MaxRequests int64
+}
+
+// Server serves callers over HTTP/1.1 and HTTP/2 (without TLS: with prior
+// knowledge).
+type Server struct {
+	settings Settings
+	view     func() viewer.View
+	claims   Claims
+	requests *dispatcher.Dispatcher
+	clock    timer.Service
+	counters *reporter.Counters
+	logger   *slog.Logger
+	listener net.Listener
+	http     *http.Server
+	draining atomic.Bool
+	open     atomic.Int64
+}
+
+// Listen binds the address of a Server.
+func Listen(settings Settings, config *tls.Config, view func() viewer.View, claims Claims, requests *dispatcher.Dispatcher,
+	clock timer.Service, counters *reporter.Counters, logger *slog.Logger,
+) (*Server, error) {
+	listener, err := net.Listen("tcp", settings.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("bind the HTTP address: %w", err)
+	}
+	s := &Server{settings: settings, view: view, claims: claims, requests: requests, clock: clock, counters: counters, logger: logger, listener: listener}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(config == nil)
+	s.http = &http.Server{
+		Handler: s, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		HTTP2:    &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
+		ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+	}
+	if config != nil {
+		config = config.Clone()
+		// Callers may come without a certificate unless it names the member.
+		if !settings.MemberFromCertificate {
+			config.ClientAuth = tls.VerifyClientCertIfGiven
+		}
+		s.http.TLSConfig = config
+	}
+	counters.Func("requests_open", func() any { return s.open.Load() })
+	return s, nil
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
+// Serve serves callers until Shutdown is called.
+func (s *Server) Serve() error {
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.http.Serve(s.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve HTTP: %w", err)
+	}
+	return nil
+}
+
+// Drain asks callers to close their connections after their next response. All
+// requests are still served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown closes idle connections and waits for the open requests until ctx
+// ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("%d requests were cut at the stop: %w", s.open.Load(), err)
+	}
+	return nil
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := s.clock.Now()
+	s.counters.Int("requests").Add(1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	defer s.open.Add(-1)
+	if s.open.Add(1) > s.settings.MaxRequests {
+		s.reply(w, refusedUnknown(r, recorder.ReasonQueueFull, time.Second))
+		return
+	}
+	view := s.view()
+	if service, _ := splitService(r); !view.HasService(service) {
+		reason := recorder.ReasonUnknownService
+		if view.Version == 0 {
+			reason = recorder.ReasonNoBackend
+		}
+		s.reply(w, refusedUnknown(r, reason, 0))
+		return
+	}
+	p, err := s.parse(w, r, arrived)
+	if err != nil {
+		s.replyMalformed(w, err)
+		return
+	}
+	if !p.hasKey {
+		s.finish(w, s.requests.Run(r.Context(), w, p.Request, 0, s.count))
+		return
+	}
+	s.serveKeyed(w, r, p)
+}
+
+// refusedUnknown refuses a request before its key is known. With a key, an
+// earlier attempt through any gateway may have run.
+func refusedUnknown(r *http.Request, reason recorder.Reason, retryAfter time.Duration) recorder.Outcome {
+	if r.Header.Get(HeaderIdempotencyKey) != "" && !isIdempotent(r.Method) {
+		return recorder.FailedMayHaveRun{Reason: reason}
+	}
+	return recorder.RefusedNotRun{Reason: reason, RetryAfter: retryAfter}
+}
+
+func (s *Server) serveKeyed(w http.ResponseWriter, r *http.Request, p parsed) {
+	id, outcome := s.claims.Claim(r.Context(), p.key, p.fingerprint, p.Deadline)
+	if outcome != nil {
+		s.counters.Int("resends").Add(1)
+		s.reply(w, outcome)
+		return
+	}
+	// A panic that is not an abort must not leave the claim without outcome.
+	ended := false
+	end := func(outcome recorder.Outcome) {
+		if !ended {
+			ended = true
+			s.claims.Finish(id, outcome)
+		}
+	}
+	defer func() { end(recorder.FailedMayHaveRun{Reason: recorder.ReasonUpstreamFailed}) }()
+	outcome = s.requests.Run(r.Context(), w, p.Request, s.settings.MaxKept, func(o recorder.Outcome) {
+		s.count(o)
+		end(o)
+	})
+	end(outcome)
+	s.finish(w, outcome)
+}
+
+// finish reports the outcome of a request that was run here. The response of
+// a completed one has been passed on already.
+func (s *Server) finish(w http.ResponseWriter, outcome recorder.Outcome) {
+	if _, ok := outcome.(recorder.Completed); ok {
+		s.count(outcome)
+		return
+	}
+	s.reply(w, outcome)
+}
+
+// reply sends a stored response or a problem document.
+func (s *Server) reply(w http.ResponseWriter, outcome recorder.Outcome) {
+	s.count(outcome)
+	if problem, ok := recorder.NewProblem(outcome); ok {
+		problem.Write(w)
+		return
+	}
+	completed, ok := outcome.(recorder.Completed)
+	if !ok {
+		return
+	}
+	for name, values := range completed.Response.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(recorder.HeaderOutcome, recorder.ValueCompleted)
+	w.Header().Set("Content-Length", strconv.Itoa(len(completed.Response.Body)))
+	w.WriteHeader(completed.Response.Status)
+	_, _ = w.Write(completed.Response.Body)
+}
+
+func (s *Server) count(outcome recorder.Outcome) {
+	switch outcome.(type) {
+	case recorder.Completed:
+		s.counters.Int("outcomes_completed").Add(1)
+	case recorder.RefusedNotRun:
+		s.counters.Int("outcomes_refused_not_run").Add(1)
+	case recorder.FailedMayHaveRun:
+		s.counters.Int("outcomes_failed_may_have_run").Add(1)
+	case recorder.Cancelled:
+		s.counters.Int("outcomes_cancelled").Add(1)
+	}
+}
+
+func (s *Server) replyMalformed(w http.ResponseWriter, err error) {
+	problem, _ := recorder.NewProblem(recorder.RefusedNotRun{Reason: recorder.ReasonBadRequest})
+	problem.Detail = err.Error()
+	if errors.Is(err, errBodyTooLarge) {
+		problem.Status, problem.Title = http.StatusRequestEntityTooLarge, http.StatusText(http.StatusRequestEntityTooLarge)
+	}
+	s.count(recorder.RefusedNotRun{})
+	problem.Write(w)
+}
--- /dev/null
+++ b/gateway/services/claimer/machine.go
@@ -0,0 +1,186 @@
+package claimer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/messenger"
+)
+
+// Settings are the settings of a Machine.
+type Settings struct {
+	Self string
+	// MaxDeadline is the longest time that a request may take.
+	MaxDeadline time.Duration
+	// Lifetime is how long an outcome is kept.
+	Lifetime time.Duration
+	// Round is the longest time between sending a claim and counting its
+	// majority. A member that restarts waits for two rounds before it copies
+	// claims: a grant that it gave before the restart and forgot is then either
+	// void or part of a majority that it copies from.
+	Round time.Duration
+	// Spread is the longest time until all gateways have a new gateway list.
+	Spread time.Duration
+	// MaxKeys and MaxBytes bound the memory for keys and outcomes.
+	MaxKeys  int
+	MaxBytes int
+	// MaxPending bounds the requests that wait for a claim.
+	MaxPending int
+	// FirstStart asserts that no gateway has served requests within one claim
+	// lifetime, so that peers that are recovering too have forgotten nothing.
+	FirstStart bool
+}
+
+// claimedLifetime is how long a claim without an outcome is kept. The request
+// ends before its deadline, and its outcome is kept for Lifetime after that.
+func (s Settings) claimedLifetime() time.Duration { return s.MaxDeadline + s.Lifetime + s.Spread }
+
+// Machine is a deterministic state machine. It is not safe for concurrent use.
+// The times that it is given must be monotonic.
+type Machine struct {
+	settings Settings
+	rng      *rand.Rand
+	lists    lists
+	store    *store
+	pending  map[uint64]*pending
+	order    []uint64
+	records  map[uint64]*record
+	nextID   uint64
+	recovery recovery
+	epoch    uint64
+	majority func(n int) int
+}
+
+// New returns a Machine that recovers the claims that an earlier process of this
+// gateway may have granted.
+func New(settings Settings, now time.Time, rng *rand.Rand) *Machine {
+	return &Machine{
+		settings: settings, rng: rng, store: newStore(settings),
+		pending: make(map[uint64]*pending), records: make(map[uint64]*record),
+		recovery: recovery{started: now, copies: make(map[string]*copyState)},
+		epoch:    rng.Uint64(), majority: majority,
+	}
+}
+
+// Step takes one input into account.
+func (m *Machine) Step(now time.Time, input Input) []Output {
+	m.lists = m.lists.current(now)
+	switch in := input.(type) {
+	case ListChanged:
+		m.lists = m.lists.with(in.Gateways, now.Add(m.settings.claimedLifetime()+m.settings.Spread))
+	case ClaimWanted:
+		return m.want(now, in)
+	case OutcomeKnown:
+		return m.finish(now, in)
+	case CallerGone:
+		if p := m.pending[in.Request]; p != nil && !p.held {
+			m.drop(p)
+			return m.release(now, p)
+		}
+	case ClaimAsked:
+		return []Output{AnswerClaim{Call: in.Call, Answer: m.claim(now, in.Request)}}
+	case ClaimAnswered:
+		return m.answered(now, in)
+	case RecordAsked:
+		m.record(now, in.Request)
+	case RecordAnswered:
+		m.acknowledge(in)
+	case HandOverAsked:
+		return []Output{AnswerHandOver{Call: in.Call, Answer: m.handOver(now, in.Request)}}
+	case HandOverAnswered:
+		return m.copied(now, in)
+	case Stopping:
+		return m.pushAll(now)
+	case Tick:
+		return m.tick(now)
+	}
+	return nil
+}
+
+func (m *Machine) tick(now time.Time) []Output {
+	m.store.sweep(now)
+	var out []Output
+	for _, id := range append([]uint64(nil), m.order...) {
+		if p := m.pending[id]; p != nil && !p.held {
+			out = append(out, m.advance(now, p)...)
+		}
+	}
+	out = append(out, m.resendRecords(now)...)
+	return append(out, m.askCopies(now)...)
+}
+
+// claim answers a claimant as a member of the group.
+func (m *Machine) claim(now time.Time, req messenger.ClaimRequest) messenger.ClaimAnswer {
+	e := m.store.get(now, req.Key)
+	if e != nil && e.done != nil {
+		return messenger.ClaimAnswer{Status: messenger.ClaimTaken, Done: e.done, DoneBy: e.doneBy.message(now)}
+	}
+	if !m.knowsAllLists(req.Lists) {
+		return messenger.ClaimAnswer{Status: messenger.ClaimStale, Lists: m.lists.messages()}
+	}
+	if !m.isRecovered(now, req.Key) {
+		return messenger.ClaimAnswer{Status: messenger.ClaimRecovering}
+	}
+	if e != nil && len(e.claims) == 1 && e.holds(req.Attempt) {
+		return messenger.ClaimAnswer{Status: messenger.ClaimGranted}
+	}
+	if e != nil && (len(e.claims) > 0 || e.isReleased(now, req.Attempt)) {
+		answer := messenger.ClaimAnswer{Status: messenger.ClaimTaken}
+		for _, c := range e.claims {
+			answer.Claims = append(answer.Claims, c.message(now))
+		}
+		return answer
+	}
+	if e = m.store.create(now, req.Key); e == nil {
+		return messenger.ClaimAnswer{Status: messenger.ClaimFull}
+	}
+	m.store.addClaim(now, e, heldClaim{attempt: req.Attempt, fingerprint: req.Fingerprint, since: now})
+	return messenger.ClaimAnswer{Status: messenger.ClaimGranted}
+}
+
+// knowsAllLists reports whether the claimant uses every list that counts here.
+func (m *Machine) knowsAllLists(used []uint64) bool {
+	for _, l := range m.lists {
+		found := false
+		for _, hash := range used {
+			found = found || hash == l.hash
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// record keeps an outcome or a release as a member of the group. The outcome of
+// a dispatched attempt weighs more than claims of other attempts: none of them
+// can have had a majority.
+func (m *Machine) record(now time.Time, req messenger.RecordRequest) {
+	e := m.store.get(now, req.Key)
+	if e != nil && e.done != nil {
+		return
+	}
+	if e == nil {
+		if e = m.store.create(now, req.Key); e == nil {
+			return
+		}
+	}
+	if req.Release {
+		m.store.release(now, e, req.Attempt)
+		return
+	}
+	if req.Outcome == nil {
+		return
+	}
+	m.store.setDone(e, heldClaim{attempt: req.Attempt, fingerprint: req.Fingerprint, since: now}, *req.Outcome)
+	e.expires = now.Add(m.settings.Lifetime)
+}
+
+// Keys returns the number of keys kept, for counters.
+func (m *Machine) Keys() int { return len(m.store.entries) }
+
+// Pending returns the number of requests with a claim or waiting for one.
+func (m *Machine) Pending() int { return len(m.pending) }
+
+// IsRecovering reports whether some claims are not answered yet.
+func (m *Machine) IsRecovering(now time.Time) bool { return !m.isRecoveredForAll(now) }
--- /dev/null
+++ b/gateway/services/scheduler/scheduler.go
@@ -0,0 +1,193 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/gateway/services/granter"
+	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+	"github.com/redwingledge/redwingledge/gateway/services/queuer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// TickPeriod is how often the Machine needs a Tick.
+const TickPeriod = 10 * time.Millisecond
+
+// noBackendWait is how long requests wait for a backend server of a service
+// that has none, such as right after a start of the gateway.
+const noBackendWait = 2 * time.Second
+
+// Settings are the settings of a Machine.
+type Settings struct {
+	Self   string
+	Slots  granter.Settings
+	Queues queuer.Settings
+}
+
+// Machine is a deterministic state machine. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	view     viewer.View
+	leases   *leaser.Leases
+	granter  *granter.Machine
+	queues   map[string]*queuer.Queue
+	services []string
+	idle     map[string]time.Time
+}
+
+// New returns a Machine without a view.
+func New(settings Settings, rng *rand.Rand) *Machine {
+	return &Machine{
+		settings: settings,
+		leases:   leaser.New(settings.Self, settings.Slots.Lease, rng),
+		granter:  granter.New(settings.Self, settings.Slots),
+		queues:   make(map[string]*queuer.Queue),
+		idle:     make(map[string]time.Time),
+	}
+}
+
+// Step takes one input into account. The time must be monotonic.
+func (m *Machine) Step(now time.Time, input Input) []Output {
+	var out []Output
+	switch in := input.(type) {
+	case ViewChanged:
+		m.view = in.View
+		m.leases.SetView(in.View)
+		m.granter.SetView(now, in.View)
+	case RequestQueued:
+		out = m.enqueue(now, in)
+	case RequestCancelled:
+		if q := m.queues[in.Service]; q != nil {
+			q.Remove(in.Request)
+		}
+		return nil
+	case SlotReturned:
+		m.leases.Return(now, in.Slot, in.Result, in.Latency)
+	case GrantAsked:
+		return []Output{AnswerGrant{Call: in.Call, Answer: m.granter.Grant(now, in.Request)}}
+	case GrantAnswered:
+		m.leases.Granted(now, in.From, in.Sequence, in.Answer)
+	case GrantFailed:
+		m.leases.Failed(now, in.From, in.Sequence, in.IDs)
+	case Tick:
+		m.granter.Tick(now)
+		out = m.expire(now)
+	}
+	out = append(out, m.start(now)...)
+	out = append(out, m.ask(now)...)
+	return append(out, m.start(now)...)
+}
+
+func (m *Machine) enqueue(now time.Time, in RequestQueued) []Output {
+	q := m.queues[in.Service]
+	if q == nil {
+		q = queuer.New(m.settings.Queues)
+		m.queues[in.Service] = q
+		m.services = append(m.services, in.Service)
+		slices.Sort(m.services)
+	}
+	if in.Retry && now.Before(in.Item.Deadline) {
+		q.PushFront(in.Item)
+		return nil
+	}
+	if reason, ok := q.Push(now, in.Item); !ok {
+		return []Output{Refuse{Request: in.Item.Request, Reason: reason, RetryAfter: q.ExpectedWait(in.Item.Member)}}
+	}
+	return nil
+}
+
+// start hands free slots to waiting requests.
+func (m *Machine) start(now time.Time) []Output {
+	var out []Output
+	for _, service := range m.services {
+		q := m.queues[service]
+		for q.Len() > 0 {
+			slot, ok := m.leases.Take(now, service)
+			if !ok {
+				break
+			}
+			item, expired, ok := q.Pop(now)
+			out = append(out, refuseAll(expired)...)
+			if !ok {
+				m.leases.Return(now, slot, leaser.ResultUnused, 0)
+				break
+			}
+			out = append(out, Start{Request: item.Request, Slot: slot})
+		}
+	}
+	return out
+}
+
+// ask sends the requests for slots that are due. Those to this gateway itself
+// are answered at once.
+func (m *Machine) ask(now time.Time) []Output {
+	need := make(map[string]int, len(m.services))
+	for _, service := range m.services {
+		need[service] = m.queues[service].Len()
+	}
+	var out []Output
+	for _, ask := range m.leases.Asks(now, need) {
+		if ask.To == m.settings.Self {
+			m.leases.Granted(now, ask.To, ask.Request.Sequence, m.granter.Grant(now, ask.Request))
+			continue
+		}
+		out = append(out, SendGrantRequest{To: ask.To, Request: ask.Request})
+	}
+	return out
+}
+
+// expire refuses the requests past their deadline, and those of services that
+// have had no backend server for a while.
+func (m *Machine) expire(now time.Time) []Output {
+	var out []Output
+	for _, service := range m.services {
+		q := m.queues[service]
+		out = append(out, refuseAll(q.Expire(now))...)
+		if m.leases.HasHosts(service) || q.Len() == 0 {
+			delete(m.idle, service)
+			continue
+		}
+		since, ok := m.idle[service]
+		if !ok {
+			m.idle[service] = now
+			continue
+		}
+		if now.Sub(since) < noBackendWait {
+			continue
+		}
+		for {
+			item, _, ok := q.Pop(now)
+			if !ok {
+				break
+			}
+			out = append(out, Refuse{Request: item.Request, Reason: recorder.ReasonNoBackend, RetryAfter: noBackendWait})
+		}
+	}
+	return out
+}
+
+func refuseAll(items []queuer.Item) []Output {
+	out := make([]Output, 0, len(items))
+	for _, item := range items {
+		out = append(out, Refuse{Request: item.Request, Reason: recorder.ReasonDeadline, RetryAfter: time.Second})
+	}
+	return out
+}
+
+// Leases returns the leases of this gateway, for counters and tests.
+func (m *Machine) Leases() *leaser.Leases { return m.leases }
+
+// Leased returns the sum of the leases that this gateway has granted for a
+// backend server that it owns.
+func (m *Machine) Leased(now time.Time, id announcer.ID) int { return m.granter.Leased(now, id) }
+
+// Waiting returns the number of requests that wait for a slot of the service.
+func (m *Machine) Waiting(service string) int {
+	if q := m.queues[service]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/services/scheduler/service.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/messenger"
+	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+	"github.com/redwingledge/redwingledge/gateway/services/queuer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+const (
+	// ringSize bounds the events that wait for the machine.
+	ringSize = 16384
+	// pushPause is the wait before an event that must not be lost is offered to
+	// a full ring again.
+	pushPause = time.Millisecond
+)
+
+// Sender sends a request for slots to another gateway and waits for its answer.
+type Sender interface {
+	GrantSlots(ctx context.Context, to string, req messenger.GrantRequest) (messenger.GrantAnswer, error)
+}
+
+// ErrRefused is returned by Acquire for a request that cannot start.
+type ErrRefused struct {
+	Reason     recorder.Reason
+	RetryAfter time.Duration
+}
+
+// Error returns the message of the error.
+func (e ErrRefused) Error() string { return "request refused: " + string(e.Reason) }
+
+// Service runs a Machine in one goroutine.
+type Service struct {
+	machine *Machine
+	clock   timer.Service
+	sender  Sender
+	ring    *buffer.Ring[Input]
+	stop    context.CancelFunc
+	ctx     context.Context
+	done    sync.WaitGroup
+
+	mu      sync.Mutex
+	next    uint64
+	waiters map[uint64]chan Output
+	calls   map[uint64]chan messenger.GrantAnswer
+}
+
+// NewService returns a Service; Run starts it.
+func NewService(machine *Machine, clock timer.Service, sender Sender) *Service {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Service{
+		machine: machine, clock: clock, sender: sender, ring: buffer.NewRing[Input](ringSize),
+		ctx: ctx, stop: stop,
+		waiters: make(map[uint64]chan Output), calls: make(map[uint64]chan messenger.GrantAnswer),
+	}
+}
+
+// Run starts the goroutines of the service.
+func (s *Service) Run() {
+	s.done.Go(func() {
+		for {
+			input, ok := s.ring.Pop()
+			if !ok {
+				return
+			}
+			for _, out := range s.machine.Step(s.clock.Now(), input) {
+				s.perform(out)
+			}
+		}
+	})
+	s.done.Go(func() {
+		sub := s.clock.Subscribe("scheduler", TickPeriod)
+		defer sub.Cancel()
+		for {
+			select {
+			case <-s.ctx.Done():
+				return
+			case <-sub.C:
+				s.ring.TryPush(Tick{})
+			}
+		}
+	})
+}
+
+// Close ends the goroutines. No request may be waiting.
+func (s *Service) Close() {
+	s.stop()
+	s.ring.Close()
+	s.done.Wait()
+}
+
+// Push hands an event to the machine that must not be lost. It waits while the
+// ring is full.
+func (s *Service) Push(input Input) {
+	for !s.ring.TryPush(input) && s.ctx.Err() == nil {
+		time.Sleep(pushPause)
+	}
+}
+
+// Acquire waits for a slot for a request. It returns an ErrRefused if the
+// request cannot start before its deadline, or the error of ctx.
+func (s *Service) Acquire(ctx context.Context, service, member string, arrived, deadline time.Time, retry bool) (leaser.Slot, error) {
+	result := make(chan Output, 1)
+	s.mu.Lock()
+	s.next++
+	id := s.next
+	s.waiters[id] = result
+	s.mu.Unlock()
+	item := queuer.Item{Request: id, Member: member, Deadline: deadline, Arrived: arrived}
+	if !s.ring.TryPush(RequestQueued{Service: service, Item: item, Retry: retry}) {
+		s.forget(id)
+		return leaser.Slot{}, ErrRefused{Reason: recorder.ReasonQueueFull, RetryAfter: time.Second}
+	}
+	select {
+	case out := <-result:
+		return s.convert(out)
+	case <-ctx.Done():
+	}
+	if s.forget(id) {
+		s.Push(RequestCancelled{Service: service, Request: id})
+		return leaser.Slot{}, ctx.Err()
+	}
+	slot, err := s.convert(<-result)
+	if err == nil {
+		s.Push(SlotReturned{Slot: slot, Result: leaser.ResultUnused})
+	}
+	return leaser.Slot{}, ctx.Err()
+}
+
+// Return gives back a slot from Acquire.
+func (s *Service) Return(slot leaser.Slot, result leaser.Result, latency time.Duration) {
+	s.Push(SlotReturned{Slot: slot, Result: result, Latency: latency})
+}
+
+// Grant answers another gateway's request for slots.
+func (s *Service) Grant(ctx context.Context, req messenger.GrantRequest) (messenger.GrantAnswer, error) {
+	answer := make(chan messenger.GrantAnswer, 1)
+	s.mu.Lock()
+	s.next++
+	id := s.next
+	s.calls[id] = answer
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.calls, id)
+		s.mu.Unlock()
+	}()
+	s.Push(GrantAsked{Call: id, Request: req})
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		return messenger.GrantAnswer{}, ctx.Err()
+	case <-s.ctx.Done():
+		return messenger.GrantAnswer{}, context.Canceled
+	}
+}
+
+func (s *Service) convert(out Output) (leaser.Slot, error) {
+	switch o := out.(type) {
+	case Start:
+		return o.Slot, nil
+	case Refuse:
+		return leaser.Slot{}, ErrRefused{Reason: o.Reason, RetryAfter: o.RetryAfter}
+	default:
+		return leaser.Slot{}, ErrRefused{Reason: recorder.ReasonStopping}
+	}
+}
+
+// forget removes a waiter. It returns false if its result is already there.
+func (s *Service) forget(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.waiters[id]
+	delete(s.waiters, id)
+	return ok
+}
+
+func (s *Service) resolve(id uint64, out Output) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiter, ok := s.waiters[id]
+	if ok {
+		delete(s.waiters, id)
+		waiter <- out
+	}
+	return ok
+}
+
+func (s *Service) perform(output Output) {
+	switch out := output.(type) {
+	case Start:
+		if !s.resolve(out.Request, out) {
+			// The caller has gone. The ring may be full, so this goroutine,
+			// which empties it, must not wait.
+			for _, more := range s.machine.Step(s.clock.Now(), SlotReturned{Slot: out.Slot, Result: leaser.ResultUnused}) {
+				s.perform(more)
+			}
+		}
+	case Refuse:
+		s.resolve(out.Request, out)
+	case AnswerGrant:
+		s.mu.Lock()
+		if call := s.calls[out.Call]; call != nil {
+			call <- out.Answer
+			delete(s.calls, out.Call)
+		}
+		s.mu.Unlock()
+	case SendGrantRequest:
+		s.done.Go(func() { s.send(out) })
+	}
+}
+
+func (s *Service) send(out SendGrantRequest) {
+	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+	defer cancel()
+	answer, err := s.sender.GrantSlots(ctx, out.To, out.Request)
+	if err != nil {
+		ids := make([]announcer.ID, 0, len(out.Request.Demands))
+		for _, d := range out.Request.Demands {
+			ids = append(ids, d.ID)
+		}
+		s.Push(GrantFailed{From: out.To, Sequence: out.Request.Sequence, IDs: ids})
+		return
+	}
+	s.Push(GrantAnswered{From: out.To, Sequence: out.Request.Sequence, Answer: answer})
+}
