--- a/control/cmd/control/main.go
+++ b/control/cmd/control/main.go
@@ -1,4 +1,5 @@
-// Command control is described in docs/design.md.
+// Command control runs a replica of the configuration of redwingledge. See
+// docs/replication.md for its settings.
 package main
 
 import (
@@ -7,21 +8,12 @@
 	"fmt"
 	"os"
 
-	"github.com/alecthomas/kong"
+	"go.uber.org/fx"
 
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/setting"
 )
 
-type settings struct {
-	runner.Common `embed:""`
-
-	Version kong.VersionFlag `name:"version" help:"Print the version and exit."`
-}
-
-// Check adds a problem for each wrong value.
-func (s *settings) Check(problems *setting.Problems) { s.CheckCommon(problems) }
-
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "control:", err)
@@ -31,10 +23,10 @@
 
 func run(args []string) error {
 	var s settings
-	if err := setting.Parse(&s, args, "control", "Runs the control process of redwingledge.", os.Stdout); errors.Is(err, setting.ErrHelpShown) {
+	if err := setting.Parse(&s, args, "control", "Runs a replica of the configuration.", os.Stdout); errors.Is(err, setting.ErrHelpShown) {
 		return nil
 	} else if err != nil {
 		return err
 	}
-	return runner.Run(context.Background(), s.Common, os.Stderr)
+	return runner.Run(context.Background(), s.Common, os.Stderr, fx.Supply(s), services())
 }
