Add plans, audit trail and load figures of control

The planner is a deterministic state machine over the replicated log, with a leader-side service that adds the time, random ids and load figures to each command. Plans name the version and the figures that they state; a confirmation is refused with the differences, the changes since then and a new plan if they no longer hold.

--- /dev/null
+++ b/control/services/planner/create.go
@@ -0,0 +1,81 @@
+package planner
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/redwingledge/redwingledge/shared/models/auditor"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/models/observer"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// PlanLifetime is the time in which a plan can be confirmed.
+const PlanLifetime = 10 * time.Minute
+
+func (s *state) createPlan(c CreatePlan) operator.Answer {
+	if refused := s.checkRole(c.Request, cataloger.RolePlanner, "create a plan"); refused != nil {
+		return *refused
+	}
+	intent, err := c.Intent.Unwrap()
+	if err != nil {
+		return s.refuseAudited(c.Request, "", operator.ReasonInvalid, "%v", err)
+	}
+	s.audit(auditor.Line{Time: c.Request.Now, Operator: c.Request.Operator, Event: auditor.EventIntent, Request: c.Request.ID, Text: intent.String()})
+	if c.BaseVersion != 0 && c.BaseVersion != s.Catalog.Version {
+		answer := s.refuse(operator.ReasonStale, "the request was made for version %d, and version %d is in force", c.BaseVersion, s.Catalog.Version)
+		answer.Refusal.Changes = s.changesSince(c.BaseVersion)
+		s.auditRefusal(c.Request, "", *answer.Refusal)
+		return answer
+	}
+	if s.countOpenPlans() >= maxOpenPlans {
+		return s.refuseAudited(c.Request, "", operator.ReasonBusy, "%d plans are open; confirm one or wait until they expire", maxOpenPlans)
+	}
+	r, refusal := s.makePlan(c.PlanID, c.Request.Operator, c.Request.Now, c.Intent, c.Declared, c.Load)
+	if refusal != nil {
+		s.auditRefusal(c.Request, "", *refusal)
+		return operator.Answer{Refusal: refusal, Version: s.Catalog.Version}
+	}
+	s.showPlan(c.Request, r)
+	return operator.Answer{Plan: &r.Plan, Version: s.Catalog.Version}
+}
+
+// makePlan describes what the intent would do to the configuration in force.
+func (s *state) makePlan(id, author string, now timer.Timestamp, body operator.Body, declared *cataloger.Catalog, load observer.Summary) (record, *operator.Refusal) {
+	intent, err := body.Unwrap()
+	if err != nil {
+		return record{}, &operator.Refusal{Reason: operator.ReasonInvalid, Message: err.Error()}
+	}
+	if s.findPlan(id) >= 0 {
+		return record{}, &operator.Refusal{Reason: operator.ReasonBusy, Message: fmt.Sprintf("plan id %s is taken; send a new request", id)}
+	}
+	target, refusal := changeCatalog(s.Catalog, intent, declared)
+	if refusal != nil {
+		return record{}, refusal
+	}
+	described := describe(situation{base: s.Catalog, target: target, load: load, now: now}, intent)
+	if takeOut, ok := intent.(operator.TakeOut); ok && described.overload != "" && !takeOut.AcceptOverload {
+		return record{}, &operator.Refusal{
+			Reason:  operator.ReasonOverload,
+			Message: fmt.Sprintf("to take out %s would overload what remains; repeat with --accept-overload to plan it nevertheless", takeOut.DataCentre), Differences: []string{described.overload},
+		}
+	}
+	return record{
+		Plan: operator.Plan{
+			ID: id, Operator: author, Intent: intent.String(), BaseVersion: s.Catalog.Version,
+			Created: now, Expires: now.Add(PlanLifetime), Sections: described.sections, Facts: described.facts, State: operator.PlanOpen,
+		},
+		Intent: body, Declared: declared,
+	}, nil
+}
+
+// showPlan keeps the plan and records the hash of its text.
+func (s *state) showPlan(request Request, r record) {
+	s.Plans = append(s.Plans, r)
+	s.audit(auditor.Line{
+		Time: request.Now, Operator: request.Operator, Event: auditor.EventPlanShown, Request: request.ID, Plan: r.Plan.ID,
+		Text: fmt.Sprintf("%s, text SHA-256 %x", r.Plan.Intent, sha256.Sum256([]byte(r.Plan.Text()))),
+	})
+}
--- /dev/null
+++ b/control/services/planner/describe_apply.go
@@ -0,0 +1,148 @@
+package planner
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+// maxListedChanges bounds the text of a plan; the rest is counted.
+const maxListedChanges = 100
+
+func (s situation) describeApply(d *description) flowText {
+	changes := summariseChanges(s.base, s.target)
+	if rest := len(changes) - maxListedChanges; rest > 0 {
+		changes = append(changes[:maxListedChanges:maxListedChanges], fmt.Sprintf("and %d more changes", rest))
+	}
+	t := flowText{
+		changes:  "- " + strings.Join(changes, "\n- "),
+		stay:     "All established flows stay where they are.",
+		move:     "None.",
+		givenUp:  "None.",
+		duration: s.force(),
+		risks:    "Backend servers and operators whose token hash changes are refused until they use the new token. " + cutOffRisk,
+	}
+	lost := lostAddresses(s.base, s.target)
+	if len(lost) == 0 {
+		return t
+	}
+	t.stay = "All established flows to other addresses stay where they are."
+	var lines []string
+	if s.load.IsKnown() {
+		d.factKnown()
+	} else {
+		d.factUnknown()
+	}
+	for _, service := range lost {
+		flows := s.sum(service, func(string) bool { return true }).Flows
+		if !s.load.IsKnown() {
+			lines = append(lines, fmt.Sprintf("%s: flows to the removed addresses; how many is not known.", service))
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("%s: flows to the removed addresses, at most %s.", service, count(flows, "flow", "flows")))
+		d.factAmount("flows of "+service, flows)
+	}
+	t.givenUp = strings.Join(lines, "\n")
+	t.risks = "Callers that still use a removed address get no answer. " + t.risks
+	return t
+}
+
+// lostAddresses returns the services of which an address disappears.
+func lostAddresses(base, target cataloger.Catalog) []string {
+	var lost []string
+	for _, old := range base.Services {
+		next, err := target.GetService(old.Name)
+		kept := err == nil && next.Protocol == old.Protocol
+		for _, a := range old.Addresses {
+			if !kept || !contains(next.Addresses, a) {
+				lost = append(lost, old.Name)
+				break
+			}
+		}
+	}
+	return lost
+}
+
+func contains[T comparable](list []T, item T) bool {
+	for _, other := range list {
+		if other == item {
+			return true
+		}
+	}
+	return false
+}
+
+// summariseChanges names what differs between two configurations.
+func summariseChanges(base, target cataloger.Catalog) []string {
+	var changes []string
+	diff(&changes, "data centre", base.DataCentres, target.DataCentres, func(d cataloger.DataCentre) string { return d.Name })
+	diff(&changes, "service", base.Services, target.Services, func(s cataloger.Service) string { return s.Name })
+	diff(&changes, "entry", base.Entries, target.Entries, func(m cataloger.Member) string { return m.Name })
+	diff(&changes, "gateway", base.Gateways, target.Gateways, func(m cataloger.Member) string { return m.Name })
+	diff(&changes, "control replica", base.Control, target.Control, func(r cataloger.Replica) string { return r.Name })
+	diff(&changes, "operator", base.Operators, target.Operators, func(o cataloger.Operator) string { return o.Name })
+	if base.Policies != target.Policies {
+		changes = append(changes, fmt.Sprintf("change policy forbid_self_confirm from %t to %t", base.Policies.ForbidSelfConfirm, target.Policies.ForbidSelfConfirm))
+	}
+	return changes
+}
+
+// diff compares two lists of named items. Their order does not count.
+func diff[T any](changes *[]string, kind string, base, target []T, name func(T) string) {
+	old := make(map[string]T, len(base))
+	for _, item := range base {
+		old[name(item)] = item
+	}
+	for _, item := range target {
+		before, ok := old[name(item)]
+		delete(old, name(item))
+		if !ok {
+			*changes = append(*changes, fmt.Sprintf("add %s %s", kind, name(item)))
+		} else if fields := differingFields(before, item); len(fields) > 0 {
+			*changes = append(*changes, fmt.Sprintf("change %s %s: %s", kind, name(item), strings.Join(fields, ", ")))
+		}
+	}
+	for _, item := range base {
+		if _, ok := old[name(item)]; ok {
+			*changes = append(*changes, fmt.Sprintf("remove %s %s", kind, name(item)))
+		}
+	}
+}
+
+// differingFields names the fields of a struct that differ, with their values.
+func differingFields(before, after any) []string {
+	var fields []string
+	b, a := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range b.NumField() {
+		x, y := b.Field(i), a.Field(i)
+		isEmptyList := x.Kind() == reflect.Slice && x.Len() == 0 && y.Len() == 0
+		if isEmptyList || reflect.DeepEqual(x.Interface(), y.Interface()) {
+			continue
+		}
+		fields = append(fields, fmt.Sprintf("%s from %v to %v", b.Type().Field(i).Tag.Get("json"), x.Interface(), y.Interface()))
+	}
+	return fields
+}
+
+func (s situation) describeReplaceReplica(d *description, i operator.ReplaceReplica) flowText {
+	replicas := len(s.base.Control)
+	majority := replicas/2 + 1
+	t := flowText{
+		changes: fmt.Sprintf("Control replica %s leaves, and %s at %s in %s takes its place.",
+			i.Name, i.Replacement.Name, i.Replacement.Address, i.Replacement.DataCentre),
+		stay:     "All flows. Control carries no flows.",
+		move:     "None.",
+		givenUp:  "None.",
+		duration: "The new replica copies the whole state before it counts. That usually takes seconds; how long is not known.",
+		risks:    fmt.Sprintf("Until then %d of the %d replicas must be up for any other change. If they are not, the configuration in force stays in force. ", majority, replicas),
+	}
+	if replicas == 1 {
+		t.risks = "There is only one replica; it must run until the new one has copied the state. "
+	}
+	t.risks += "The new replica must run at its address, with an empty data folder."
+	d.factExact("control replicas", int64(replicas))
+	return t
+}
--- /dev/null
+++ b/control/services/planner/machine.go
@@ -0,0 +1,171 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/shared/models/auditor"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// Machine is the replicated state of control: configuration, plans, answers and
+// audit trail. It implements Applier and is safe for concurrent use.
+type Machine struct {
+	mu      sync.RWMutex
+	state   state
+	changed chan struct{}
+}
+
+var _ Applier = (*Machine)(nil)
+
+// NewMachine returns a Machine with an empty configuration of version 0.
+func NewMachine() *Machine {
+	return &Machine{state: newState(), changed: make(chan struct{})}
+}
+
+// Apply carries out a command and returns the encoded operator.Answer. It
+// changes nothing and returns a refusal if the command cannot be decoded.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index <= m.state.Index {
+		return nil
+	}
+	m.state.Index = index
+	before := m.state.trail.Head()
+	answer := m.applyLocked(command)
+	if m.state.trail.Head() != before {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return answer
+}
+
+func (m *Machine) applyLocked(data []byte) []byte {
+	command, err := decode(data)
+	if err != nil {
+		return encodeAnswer(m.state.refuse(operator.ReasonInvalid, "%v", err))
+	}
+	s := &m.state
+	switch c := command.(type) {
+	case CreatePlan:
+		return s.answerOnce(c.Request, func() operator.Answer { return s.createPlan(c) })
+	case ConfirmPlan:
+		return s.answerOnce(c.Request, func() operator.Answer { return s.confirmPlan(c) })
+	case ExpirePlans:
+		s.expirePlans(c.Now)
+	case RecordRefusal:
+		s.audit(auditor.Line{Time: c.Now, Operator: c.Operator, Event: auditor.EventRefusal, Request: c.Request, Text: c.Text})
+	}
+	return encodeAnswer(operator.Answer{Version: s.Catalog.Version})
+}
+
+// Snapshot returns the whole state, including the complete audit trail.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := m.state
+	s.Trail = s.trail.Store()
+	data, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode a snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot. It returns an error, and keeps the
+// earlier state, if the snapshot cannot be decoded or its audit trail does not
+// verify.
+func (m *Machine) Restore(snapshot []byte) error {
+	restored, err := decodeState(snapshot)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = restored
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
+
+// Changed returns a channel that is closed at the next line of the audit trail,
+// which every change of the configuration adds.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Catalog returns the configuration in force.
+func (m *Machine) Catalog() cataloger.Catalog {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Catalog
+}
+
+// LastChange returns the change that made the configuration in force.
+func (m *Machine) LastChange() (operator.Change, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.state.History) == 0 {
+		return operator.Change{}, false
+	}
+	return m.state.History[len(m.state.History)-1], true
+}
+
+// Plans returns the newest plans first, at most limit.
+func (m *Machine) Plans(all bool, limit int) []operator.Plan {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	plans := make([]operator.Plan, 0)
+	for _, r := range slices.Backward(m.state.Plans) {
+		if len(plans) == limit {
+			break
+		}
+		if all || r.Plan.State == operator.PlanOpen {
+			plans = append(plans, r.Plan)
+		}
+	}
+	return plans
+}
+
+// HasExpiredPlans reports whether ExpirePlans would close a plan.
+func (m *Machine) HasExpiredPlans(now timer.Timestamp) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.ContainsFunc(m.state.Plans, func(r record) bool { return r.isExpired(now) })
+}
+
+// ListAudit returns up to limit lines after the given sequence, and the head of
+// the trail.
+func (m *Machine) ListAudit(after uint64, limit int) ([]auditor.Line, auditor.Head, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	lines, err := m.state.trail.List(after, limit)
+	return lines, m.state.trail.Head(), err
+}
+
+// VerifyAudit recomputes the hashes of the whole audit trail.
+func (m *Machine) VerifyAudit() error {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.trail.Verify()
+}
+
+// intentOf returns the intent of a plan, and the declaration of an open apply.
+func (m *Machine) intentOf(planID string) (operator.Intent, *cataloger.Catalog, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	i := m.state.findPlan(planID)
+	if i < 0 {
+		return nil, nil, false
+	}
+	intent, err := m.state.Plans[i].Intent.Unwrap()
+	return intent, m.state.Plans[i].Declared, err == nil
+}
--- /dev/null
+++ b/control/services/planner/service.go
@@ -0,0 +1,202 @@
+package planner
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base32"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/control/services/collector"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/models/observer"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// Identity is an authenticated operator.
+type Identity struct {
+	Name string
+	// Bootstrap tells that the operator used the bootstrap token.
+	Bootstrap bool
+}
+
+// Service turns requests of operators into commands. It adds the time, random
+// ids and load figures to them. It is safe for concurrent use.
+type Service struct {
+	proposer Proposer
+	machine  *Machine
+	clock    timer.Service
+
+	mu     sync.Mutex
+	loads  *collector.Collector
+	random io.Reader
+}
+
+// NewService returns a Service. Random ids are read from random.
+func NewService(proposer Proposer, machine *Machine, clock timer.Service, random io.Reader) *Service {
+	return &Service{proposer: proposer, machine: machine, clock: clock, loads: collector.New(), random: random}
+}
+
+// CreatePlan makes a plan. Refusals are part of the answer. The error is an
+// ErrNotLeader if this replica does not lead; after any other error the plan may
+// have been created, and a resend gets the answer.
+func (s *Service) CreatePlan(ctx context.Context, who Identity, req operator.CreatePlanRequest) (operator.Answer, error) {
+	if err := s.proposer.ReadBarrier(ctx); err != nil {
+		return operator.Answer{}, err
+	}
+	intent, err := req.Intent.Unwrap()
+	if err != nil {
+		return s.refuse(ctx, who, req.RequestID, operator.ReasonInvalid, err.Error())
+	}
+	request, err := s.newRequest(who, req.RequestID, req)
+	if err != nil {
+		return operator.Answer{}, err
+	}
+	command := CreatePlan{Request: request, BaseVersion: req.BaseVersion, Intent: req.Intent}
+	if apply, ok := intent.(operator.Apply); ok {
+		declared, err := cataloger.Parse(apply.Declaration)
+		if err != nil {
+			return s.refuse(ctx, who, req.RequestID, operator.ReasonInvalid, err.Error())
+		}
+		command.Declared, command.Intent = &declared, operator.Wrap(operator.Apply{})
+	}
+	command.Load = selectLoad(s.Summarise(), s.machine.Catalog(), intent, command.Declared)
+	if command.PlanID, err = s.newPlanID(); err != nil {
+		return operator.Answer{}, err
+	}
+	return s.propose(ctx, command)
+}
+
+// ConfirmPlan carries out a plan if it still holds. Errors are those of
+// CreatePlan.
+func (s *Service) ConfirmPlan(ctx context.Context, who Identity, req operator.ConfirmPlanRequest) (operator.Answer, error) {
+	if err := s.proposer.ReadBarrier(ctx); err != nil {
+		return operator.Answer{}, err
+	}
+	request, err := s.newRequest(who, req.RequestID, req)
+	if err != nil {
+		return operator.Answer{}, err
+	}
+	command := ConfirmPlan{Request: request, PlanID: req.PlanID}
+	if intent, declared, ok := s.machine.intentOf(req.PlanID); ok {
+		command.Load = selectLoad(s.Summarise(), s.machine.Catalog(), intent, declared)
+	}
+	if command.NewPlanID, err = s.newPlanID(); err != nil {
+		return operator.Answer{}, err
+	}
+	return s.propose(ctx, command)
+}
+
+// RecordRefusal records in the audit trail what this replica refused. Errors are
+// those of CreatePlan.
+func (s *Service) RecordRefusal(ctx context.Context, who Identity, requestID, text string) error {
+	_, err := s.propose(ctx, RecordRefusal{Now: timer.ToTimestamp(s.clock.Now()), Operator: who.Name, Request: requestID, Text: text})
+	return err
+}
+
+// ExpirePlans closes the plans whose time is over, if this replica leads.
+func (s *Service) ExpirePlans(ctx context.Context) error {
+	now := timer.ToTimestamp(s.clock.Now())
+	if !s.proposer.Status().IsLeader || !s.machine.HasExpiredPlans(now) {
+		return nil
+	}
+	_, err := s.propose(ctx, ExpirePlans{Now: now})
+	return err
+}
+
+// AddReport keeps the load that an entry or gateway reports, and returns the
+// interval until its next report.
+func (s *Service) AddReport(report observer.Report) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads.Add(s.clock.Now(), report)
+}
+
+// Summarise returns the load of all services.
+func (s *Service) Summarise() observer.Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads.Summarise(s.clock.Now(), s.machine.Catalog())
+}
+
+// ReadBarrier returns when the local state includes all commands committed
+// before the call, or ErrNotLeader.
+func (s *Service) ReadBarrier(ctx context.Context) error { return s.proposer.ReadBarrier(ctx) }
+
+// Status returns what this replica knows about the leader.
+func (s *Service) Status() Status { return s.proposer.Status() }
+
+// Machine returns the replicated state.
+func (s *Service) Machine() *Machine { return s.machine }
+
+// Now returns the time of this replica.
+func (s *Service) Now() time.Time { return s.clock.Now() }
+
+// LeaderAddress returns the address of the leader for operators, or the zero
+// value if it is not known.
+func (s *Service) LeaderAddress() netip.AddrPort {
+	status := s.proposer.Status()
+	if replica, err := s.machine.Catalog().GetReplica(status.Leader); err == nil {
+		return replica.OperatorAddress
+	}
+	return status.LeaderAddress
+}
+
+func (s *Service) refuse(ctx context.Context, who Identity, requestID string, reason operator.Reason, message string) (operator.Answer, error) {
+	if err := s.RecordRefusal(ctx, who, requestID, string(reason)+": "+message); err != nil {
+		return operator.Answer{}, err
+	}
+	return operator.Answer{Refusal: &operator.Refusal{Reason: reason, Message: message}, Version: s.machine.Catalog().Version}, nil
+}
+
+func (s *Service) propose(ctx context.Context, command Command) (operator.Answer, error) {
+	data, err := Encode(command)
+	if err != nil {
+		return operator.Answer{}, err
+	}
+	result, err := s.proposer.Propose(ctx, data)
+	if err != nil {
+		return operator.Answer{}, fmt.Errorf("propose %T: %w", command, err)
+	}
+	var answer operator.Answer
+	if err := cbor.Unmarshal(result, &answer); err != nil {
+		return operator.Answer{}, fmt.Errorf("decode the answer to %T: %w", command, err)
+	}
+	return answer, nil
+}
+
+// newRequest checks the request id and hashes the content of the request.
+func (s *Service) newRequest(who Identity, id string, content any) (Request, error) {
+	if id == "" || len(id) > operator.MaxRequestIDLength {
+		return Request{}, ErrRequestID
+	}
+	encoded, err := cbor.Marshal(content)
+	if err != nil {
+		return Request{}, fmt.Errorf("encode a request: %w", err)
+	}
+	fingerprint := sha256.Sum256(encoded)
+	return Request{ID: id, Operator: who.Name, Bootstrap: who.Bootstrap, Fingerprint: fingerprint[:], Now: timer.ToTimestamp(s.clock.Now())}, nil
+}
+
+// ErrRequestID reports a request without a usable request id.
+var ErrRequestID = errors.New("a request id must have 1 to 64 bytes")
+
+// newPlanID returns 8 random letters and digits (40 bits), which people can
+// type. A collision with one of the kept plans is refused.
+func (s *Service) newPlanID() (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var random [5]byte
+	if _, err := io.ReadFull(s.random, random[:]); err != nil {
+		return "", fmt.Errorf("read random bytes: %w", err)
+	}
+	const alphabet = "abcdefghjkmnpqrstuvwxyz023456789"
+	return base32.NewEncoding(alphabet).EncodeToString(random[:]), nil
+}
--- /dev/null
+++ b/shared/models/auditor/line.go
@@ -0,0 +1,136 @@
+// Package auditor defines the lines of the audit trail and how their hash chain
+// is checked.
+package auditor
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// Event tells what a line records.
+type Event string
+
+// Events of the audit trail.
+const (
+	EventIntent       Event = "intent"
+	EventPlanShown    Event = "plan_shown"
+	EventConfirmation Event = "confirmation"
+	EventOutcome      Event = "outcome"
+	EventRefusal      Event = "refusal"
+)
+
+// Hash is a SHA-256. It is written in hexadecimal digits.
+type Hash [sha256.Size]byte
+
+// String returns the hexadecimal digits.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// MarshalText returns the hexadecimal digits.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText reads hexadecimal digits.
+func (h *Hash) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(h) {
+		return fmt.Errorf("%q is not a SHA-256 in hexadecimal digits", text)
+	}
+	copy(h[:], decoded)
+	return nil
+}
+
+// Line is one line of the audit trail.
+type Line struct {
+	// Sequence counts from 1 without gaps.
+	Sequence uint64          `cbor:"sequence" json:"sequence"`
+	Time     timer.Timestamp `cbor:"time" json:"time"`
+	// Operator is the authenticated name, or "" for a caller without one.
+	Operator string `cbor:"operator" json:"operator"`
+	Event    Event  `cbor:"event" json:"event"`
+	Request  string `cbor:"request,omitempty" json:"request,omitempty"`
+	Plan     string `cbor:"plan,omitempty" json:"plan,omitempty"`
+	// Version is the configuration version in force after the event.
+	Version uint64 `cbor:"version" json:"version"`
+	Text    string `cbor:"text" json:"text"`
+	// Previous is the hash of the line before, or zero for the first line.
+	Previous Hash `cbor:"previous" json:"previous"`
+}
+
+// chainedLine fixes the order of the hashed fields. Its encoding must never
+// change, because the hashes of stored lines depend on it.
+type chainedLine struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Time     int64
+	Operator string
+	Event    string
+	Request  string
+	Plan     string
+	Version  uint64
+	Text     string
+	Previous []byte
+}
+
+// Hash returns the SHA-256 of the line, encoded as a CBOR array (RFC 8949) of
+// all fields in the order of Line.
+func (l Line) Hash() Hash {
+	encoded, err := cbor.Marshal(chainedLine{
+		Sequence: l.Sequence, Time: int64(l.Time), Operator: l.Operator, Event: string(l.Event), Request: l.Request,
+		Plan: l.Plan, Version: l.Version, Text: l.Text, Previous: l.Previous[:],
+	})
+	if err != nil {
+		// Numbers, strings and bytes always have an encoding.
+		panic(fmt.Sprintf("encode an audit line: %v", err))
+	}
+	return sha256.Sum256(encoded)
+}
+
+// Head is the last line of a trail. The zero value is the head of an empty one.
+type Head struct {
+	Sequence uint64 `cbor:"sequence" json:"sequence"`
+	Hash     Hash   `cbor:"hash" json:"hash"`
+}
+
+// String returns the sequence and the hash, joined by a colon.
+func (h Head) String() string { return fmt.Sprintf("%d:%s", h.Sequence, h.Hash) }
+
+// ParseHead reads what String returns.
+func ParseHead(text string) (Head, error) {
+	var head Head
+	var digits string
+	if _, err := fmt.Sscanf(text, "%d:%s", &head.Sequence, &digits); err != nil {
+		return Head{}, fmt.Errorf("%q is not SEQUENCE:HASH: %w", text, err)
+	}
+	if err := head.Hash.UnmarshalText([]byte(digits)); err != nil {
+		return Head{}, err
+	}
+	return head, nil
+}
+
+// Next returns the head after the line. It returns ErrChainBroken if the line
+// does not follow the head.
+func (h Head) Next(line Line) (Head, error) {
+	if line.Sequence != h.Sequence+1 {
+		return h, ErrChainBroken{Sequence: h.Sequence + 1, Reason: fmt.Sprintf("the next line has sequence %d", line.Sequence)}
+	}
+	if line.Previous != h.Hash {
+		return h, ErrChainBroken{Sequence: line.Sequence, Reason: fmt.Sprintf("it names %s as the hash of the line before, which has %s", line.Previous, h.Hash)}
+	}
+	return Head{Sequence: line.Sequence, Hash: line.Hash()}, nil
+}
+
+// ErrChainBroken reports that a line was changed, added or removed.
+type ErrChainBroken struct {
+	// Sequence is the first line that does not fit.
+	Sequence uint64
+	Reason   string
+}
+
+// Error returns the message of the error.
+func (e ErrChainBroken) Error() string {
+	return fmt.Sprintf("the audit trail was changed at or before line %d: %s", e.Sequence, e.Reason)
+}
