Serve plans, configuration and load reports over gRPC

Operators authenticate with a bearer token or the common name of a client certificate. Reads need a read barrier on the leader; another replica names the leader instead. Roles are checked where a command is applied, because the configuration can change between the call and its place in the log.

--- /dev/null
+++ b/control/routers/operators/member.go
@@ -0,0 +1,61 @@
+package operators
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/redwingledge/redwingledge/control/services/collector"
+	"github.com/redwingledge/redwingledge/control/services/planner"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/observer"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// redirectInterval is the time after which a reporter tries again where the
+// leader is not known.
+const redirectInterval = 10 * time.Second
+
+// fetch answers from the local state of any replica: versions only move
+// forwards, so that an older answer does no harm.
+func (r *Router) fetch(ctx context.Context, req *operator.FetchRequest) (*operator.FetchAnswer, error) {
+	if err := r.authenticateMember(ctx, "a configuration request"); err != nil {
+		return nil, err
+	}
+	r.counters.Int("configuration_fetches").Add(1)
+	machine := r.planner.Machine()
+	r.wait(ctx, req.Wait, func() bool { return machine.Catalog().Version > req.Known })
+	catalog := machine.Catalog()
+	if catalog.Version <= req.Known {
+		return &operator.FetchAnswer{Version: catalog.Version}, nil
+	}
+	return &operator.FetchAnswer{Version: catalog.Version, Catalog: &catalog}, nil
+}
+
+func (r *Router) report(ctx context.Context, req *observer.Report) (*observer.ReportAnswer, error) {
+	if err := r.authenticateMember(ctx, "a load report"); err != nil {
+		return nil, err
+	}
+	if name := transporter.PeerCommonName(ctx); name != "" && name != req.Reporter {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return nil, r.refuse(callCtx, planner.Identity{Name: name}, fmt.Sprintf("a load report: the certificate of %q cannot report for %q", name, req.Reporter))
+	}
+	if len(req.Servers) > collector.MaxServers {
+		return nil, status.Errorf(codes.InvalidArgument, "the report has %d backend servers, more than %d", len(req.Servers), collector.MaxServers)
+	}
+	for _, s := range req.Servers {
+		if len(s.Service) > announcer.MaxNameLength || len(s.Host) > announcer.MaxNameLength || len(s.DataCentre) > announcer.MaxNameLength {
+			return nil, status.Errorf(codes.InvalidArgument, "a name is longer than %d bytes", announcer.MaxNameLength)
+		}
+	}
+	if s := r.planner.Status(); !s.IsLeader {
+		return &observer.ReportAnswer{Interval: redirectInterval, Leader: r.planner.LeaderAddress()}, nil
+	}
+	r.counters.Int("load_reports").Add(1)
+	return &observer.ReportAnswer{Interval: r.planner.AddReport(*req)}, nil
+}
--- /dev/null
+++ b/control/routers/operators/router.go
@@ -0,0 +1,226 @@
+package operators
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/redwingledge/redwingledge/control/services/planner"
+	"github.com/redwingledge/redwingledge/shared/models/observer"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// Bounds of the work for callers.
+const (
+	// callTimeout bounds the wait for the replicated log.
+	callTimeout = 10 * time.Second
+	// maxPolls bounds the long polls at a time. 2 entries in each of 6 data
+	// centres poll at the design size, and each operator who watches.
+	maxPolls = 256
+	// maxListedPlans keeps answers below the 4 MB that gRPC accepts; a plan that
+	// lists 100 changes has about 10 kB.
+	maxListedPlans = 200
+	// expiryPeriod is the time between searches for expired plans.
+	expiryPeriod = 10 * time.Second
+)
+
+// Router answers the calls of operators, entries and gateways.
+type Router struct {
+	planner  *planner.Service
+	settings Settings
+	// hasCertificates tells that entries and gateways must have a certificate.
+	hasCertificates bool
+	counters        *reporter.Counters
+	logger          *slog.Logger
+	polls           chan struct{}
+	refusals        *refusalLimiter
+}
+
+// New returns a Router. Without certificates it trusts entries and gateways,
+// which then can reach it only over loopback.
+func New(service *planner.Service, settings Settings, hasCertificates bool, counters *reporter.Counters, logger *slog.Logger) *Router {
+	return &Router{
+		planner: service, settings: settings, hasCertificates: hasCertificates, counters: counters, logger: logger,
+		polls: make(chan struct{}, maxPolls), refusals: newRefusalLimiter(),
+	}
+}
+
+// Services returns the gRPC services, for transporter.Listen with ServerTLS.
+func (r *Router) Services() []*transporter.Service {
+	operators := transporter.NewService(operator.ServiceName)
+	transporter.Handle(operators, "CreatePlan", r.createPlan)
+	transporter.Handle(operators, "ConfirmPlan", r.confirmPlan)
+	transporter.Handle(operators, "GetStatus", r.getStatus)
+	transporter.Handle(operators, "ListPlans", r.listPlans)
+	transporter.Handle(operators, "ListAudit", r.listAudit)
+	configuration := transporter.NewService(operator.ConfigurationServiceName)
+	transporter.Handle(configuration, "Fetch", r.fetch)
+	load := transporter.NewService(observer.ServiceName)
+	transporter.Handle(load, "Report", r.report)
+	return []*transporter.Service{operators, configuration, load}
+}
+
+// RunExpiry closes expired plans until ctx ends.
+func (r *Router) RunExpiry(ctx context.Context, clock timer.Service) {
+	ticks := clock.Subscribe("plan expiry", expiryPeriod)
+	defer ticks.Cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			if err := r.planner.ExpirePlans(callCtx); err != nil && !planner.IsErrNotLeader(err) {
+				r.counters.Int("plan_expiry_failures").Add(1)
+			}
+			cancel()
+		}
+	}
+}
+
+func (r *Router) createPlan(ctx context.Context, req *operator.CreatePlanRequest) (*operator.Answer, error) {
+	return r.change(ctx, func(ctx context.Context, who planner.Identity) (operator.Answer, error) {
+		return r.planner.CreatePlan(ctx, who, *req)
+	}, "plans_created")
+}
+
+func (r *Router) confirmPlan(ctx context.Context, req *operator.ConfirmPlanRequest) (*operator.Answer, error) {
+	return r.change(ctx, func(ctx context.Context, who planner.Identity) (operator.Answer, error) {
+		return r.planner.ConfirmPlan(ctx, who, *req)
+	}, "plans_confirmed")
+}
+
+// change runs what may change the state. Roles are checked where the command is
+// applied, against the configuration in force at that point of the log.
+func (r *Router) change(ctx context.Context, run func(context.Context, planner.Identity) (operator.Answer, error), counter string) (*operator.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	who, redirect, err := r.admit(ctx)
+	if err != nil || redirect != nil {
+		return redirected(redirect, func(to operator.Redirect) operator.Answer { return operator.Answer{Redirect: to} }), err
+	}
+	answer, err := run(ctx, who)
+	if planner.IsErrNotLeader(err) {
+		return &operator.Answer{Redirect: *r.redirect()}, nil
+	} else if err != nil {
+		return nil, r.callError(err)
+	}
+	if answer.Refusal != nil {
+		r.counters.Int("requests_refused").Add(1)
+	} else {
+		r.counters.Int(counter).Add(1)
+	}
+	return &answer, nil
+}
+
+func (r *Router) getStatus(ctx context.Context, req *operator.GetStatusRequest) (*operator.Status, error) {
+	_, redirect, err := r.admit(ctx)
+	if err != nil || redirect != nil {
+		return redirected(redirect, func(to operator.Redirect) operator.Status { return operator.Status{Redirect: to} }), err
+	}
+	machine := r.planner.Machine()
+	r.wait(ctx, req.Wait, func() bool {
+		_, head, _ := machine.ListAudit(0, 0)
+		return head.Sequence > req.Known
+	})
+	if err := r.planner.ReadBarrier(ctx); planner.IsErrNotLeader(err) {
+		return &operator.Status{Redirect: *r.redirect()}, nil
+	} else if err != nil {
+		return nil, r.callError(err)
+	}
+	catalog := machine.Catalog()
+	_, head, _ := machine.ListAudit(0, 0)
+	answer := operator.Status{
+		Replica: r.planner.Status().Replica, Time: timer.ToTimestamp(r.planner.Now()), Version: catalog.Version,
+		DataCentres: catalog.DataCentres, Drained: catalog.Drained, Control: catalog.Control,
+		Load: r.planner.Summarise(), OpenPlans: len(machine.Plans(false, maxListedPlans)), AuditHead: head,
+	}
+	answer.Load.Servers = nil
+	if change, ok := machine.LastChange(); ok {
+		answer.LastChange = &change
+	}
+	return &answer, nil
+}
+
+func (r *Router) listPlans(ctx context.Context, req *operator.ListPlansRequest) (*operator.PlanList, error) {
+	_, redirect, err := r.admit(ctx)
+	if err != nil || redirect != nil {
+		return redirected(redirect, func(to operator.Redirect) operator.PlanList { return operator.PlanList{Redirect: to} }), err
+	}
+	return &operator.PlanList{Plans: r.planner.Machine().Plans(req.All, maxListedPlans)}, nil
+}
+
+func (r *Router) listAudit(ctx context.Context, req *operator.ListAuditRequest) (*operator.AuditPage, error) {
+	_, redirect, err := r.admit(ctx)
+	if err != nil || redirect != nil {
+		return redirected(redirect, func(to operator.Redirect) operator.AuditPage { return operator.AuditPage{Redirect: to} }), err
+	}
+	limit := req.Limit
+	if limit <= 0 || limit > operator.MaxPage {
+		limit = operator.MaxPage
+	}
+	lines, head, err := r.planner.Machine().ListAudit(req.After, limit)
+	if err != nil {
+		return nil, status.Error(codes.DataLoss, err.Error())
+	}
+	return &operator.AuditPage{Lines: lines, Head: head}, nil
+}
+
+// wait returns once done holds, or after the duration, or at once if too many
+// callers wait already.
+func (r *Router) wait(ctx context.Context, duration time.Duration, done func() bool) {
+	if duration <= 0 {
+		return
+	}
+	select {
+	case r.polls <- struct{}{}:
+		defer func() { <-r.polls }()
+	default:
+		r.counters.Int("polls_refused").Add(1)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(duration, operator.MaxWait))
+	defer cancel()
+	for {
+		changed := r.planner.Machine().Changed()
+		if done() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// redirect names the leader.
+func (r *Router) redirect() *operator.Redirect {
+	r.counters.Int("redirects").Add(1)
+	return &operator.Redirect{NotLeader: true, Leader: r.planner.LeaderAddress()}
+}
+
+func redirected[T any](redirect *operator.Redirect, answer func(operator.Redirect) T) *T {
+	if redirect == nil {
+		return nil
+	}
+	a := answer(*redirect)
+	return &a
+}
+
+// callError returns a gRPC status. Clients resend with the same request id after
+// Unavailable.
+func (r *Router) callError(err error) error {
+	if errors.Is(err, planner.ErrRequestID) {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	r.counters.Int("request_failures").Add(1)
+	return status.Errorf(codes.Unavailable, "the request may or may not have been carried out; resend it with the same request id: %v", err)
+}
--- a/shared/models/cataloger/check.go
+++ b/shared/models/cataloger/check.go
@@ -22,6 +22,7 @@
 	k.checkMembers("gateways", c.Gateways)
 	k.checkControl()
 	k.checkOperators()
+	k.checkCommonNames()
 	return k.problems
 }
 
@@ -219,3 +220,23 @@
 		k.addf("operators", "must have a second planner or confirmer, because forbid_self_confirm is set")
 	}
 }
+
+// checkCommonNames keeps operators apart from processes, because the common name
+// of a certificate identifies either.
+func (k *checker) checkCommonNames() {
+	processes := make(map[string]string)
+	for _, m := range k.catalog.Entries {
+		processes[m.Name] = "an entry"
+	}
+	for _, m := range k.catalog.Gateways {
+		processes[m.Name] = "a gateway"
+	}
+	for _, r := range k.catalog.Control {
+		processes[r.Name] = "a control replica"
+	}
+	for i, o := range k.catalog.Operators {
+		if process, ok := processes[o.Name]; ok && o.Name != "" {
+			k.addf(fmt.Sprintf("operators[%d].name", i), "%q is also the name of %s", o.Name, process)
+		}
+	}
+}
--- a/shared/models/cataloger/parse_test.go
+++ b/shared/models/cataloger/parse_test.go
@@ -46,6 +46,7 @@
 		"unknown key":        {"    protocol: tcp", "    protocoll: tcp", "protocoll: tcp", "is not a known key"},
 		"duplicate key":      {"    protocol: tcp", "    kind: request", "kind: request\n    # At", "is already set in line"},
 		"duplicate name":     {"name: bello", "name: amina", "name: amina\n    role: planner", "already the name of operators[0]"},
+		"process name":       {"name: bello", "name: entry-1", "name: entry-1\n    role", "is also the name of an entry"},
 		"unknown centre":     {"[kano-a, kano-b]", "[kano-a, kano-x]", "kano-x", "not one of the declared"},
 		"taken address":      {"192.0.2.20:443", "192.0.2.10:443", "- 192.0.2.10:443\n\n", `already belongs to service "manifest-desk"`},
 		"two IPv4 addresses": {`"[2001:db8::10]:443"`, "192.0.2.11:443", "192.0.2.11", "one address and port per IP family"},
