Add rwctl, the operators' command line

rwctl prints the request id before it sends a change, follows the leader, and resends with the same id after lost answers, so that a change runs at most once. Exit codes tell refusals, stale plans, missing answers and a changed audit trail apart. The token is sent without TLS only to loopback addresses.

--- /dev/null
+++ b/rwctl/routers/commander/commander_test.go
@@ -0,0 +1,188 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+// Guards against a command line that cannot lead a new operator from nothing to
+// a drained backend server and back.
+func TestFromNothingToADrainedServer(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	require.Contains(t, f.runDone("drain", "manifest-desk/h1"), "rwctl confirm "+f.openPlan())
+	require.Contains(t, f.runDone("plans"), "drain manifest-desk/h1")
+	require.Contains(t, f.runDone("confirm", f.openPlan()), "Version 2 is in force")
+	require.Contains(t, f.runDone("status"), "manifest-desk/h1")
+	require.Contains(t, f.runDone("take-out", "kano-b"), "Flows that are given up")
+	f.runDone("confirm", f.openPlan())
+	f.runDone("bring-back", "kano-b")
+	f.runDone("confirm", f.openPlan())
+	f.runDone("undrain", "manifest-desk/h1")
+	f.runDone("confirm", f.openPlan())
+	f.runDone("replace-replica", "control-x", "control-y", "--address", "127.0.0.1:3", "--operator-address", "127.0.0.1:4", "--data-centre", "kano-b")
+	f.runDone("confirm", f.openPlan())
+	require.Contains(t, f.runDone("plans", "--all"), "confirmed")
+	require.Contains(t, f.runDone("audit"), "24 ")
+	require.Equal(t, "3 ", f.runDone("audit", "--after", "2", "--limit", "1")[:2])
+
+	var status operator.Status
+	require.NoError(t, json.Unmarshal([]byte(f.runDone("status", "--output", "json")), &status))
+	require.Equal(t, uint64(6), status.Version)
+	require.Empty(t, status.Drained)
+	require.Equal(t, "control-y", status.Control[0].Name)
+}
+
+// Guards against a second run after a lost answer, and against an operator who
+// does not learn the request id.
+func TestResendAfterLostAnswers(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	f.cluster.set(0, 2)
+	f.runDone("drain", "manifest-desk/h1")
+	require.Len(t, f.cluster.machine.Plans(false, 10), 1, "three attempts must make one plan")
+	plan := f.openPlan()
+
+	f.cluster.set(0, 1000)
+	r := f.run("confirm", plan, "--timeout", "300ms")
+	require.Equal(t, ExitNoAnswer, r.code)
+	require.Contains(t, r.stderr, "may have been carried out")
+	_, id, found := strings.Cut(strings.SplitN(r.stderr, "\n", 2)[0], "request id: ")
+	require.True(t, found, r.stderr)
+
+	f.cluster.set(0, 0)
+	var answer struct {
+		RequestID string `json:"request_id"`
+		operator.Answer
+	}
+	require.NoError(t, json.Unmarshal([]byte(f.runDone("confirm", plan, "--request-id", id, "-o", "json")), &answer))
+	require.Equal(t, id, answer.RequestID)
+	require.Equal(t, uint64(2), answer.Version)
+	require.Equal(t, uint64(2), f.cluster.machine.Catalog().Version)
+	r = f.run("confirm", plan)
+	require.Equal(t, ExitRefused, r.code)
+	require.Contains(t, r.stdout, "already confirmed by amina")
+}
+
+// Guards against a client that gives up at a follower, at a replica that is
+// down, or when the leader changes between commands.
+func TestFollowsTheLeader(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	f.cluster.set(1, 0)
+	f.runDone("drain", "manifest-desk/h1")
+	f.control = "127.0.0.1:1," + f.cluster.addresses[0].String()
+	f.runDone("confirm", f.openPlan())
+	f.control = f.cluster.addresses[0].String()
+	f.cluster.set(-1, 0)
+	r := f.run("undrain", "manifest-desk/h1", "--timeout", "300ms")
+	require.Equal(t, ExitNoAnswer, r.code)
+	require.Contains(t, r.stderr, "was not carried out")
+}
+
+// Guards against exit codes that a script cannot rely on.
+func TestExitCodes(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	wrong := f.write("wrong.yaml", "services: 1\nunknown: 2\n")
+	tests := map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"unknown command":   {[]string{"destroy"}, ExitFault, "unexpected argument"},
+		"wrong server":      {[]string{"drain", "manifest-desk"}, ExitFault, "SERVICE/HOST"},
+		"missing file":      {[]string{"apply", "missing.yaml"}, ExitFault, "no such file"},
+		"wrong declaration": {[]string{"apply", wrong}, ExitFault, "wrong.yaml: line 2: unknown"},
+		"long request id":   {[]string{"confirm", "x", "--request-id", strings.Repeat("x", 65)}, ExitFault, "at most 64 bytes"},
+		"unknown plan":      {[]string{"confirm", "x"}, ExitRefused, "does not exist"},
+		"old base version":  {[]string{"drain", "manifest-desk/h1", "--base-version", "9"}, ExitStale, "version 1 is in force"},
+		"wrong expectation": {[]string{"audit", "--expect", "1:00"}, ExitFault, "needs --check"},
+		"help":              {[]string{"--help"}, ExitDone, "Exit codes"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := f.run(tt.args...)
+			require.Equal(t, tt.code, r.code, r.stdout+r.stderr)
+			require.Contains(t, r.stdout+r.stderr, tt.want)
+		})
+	}
+	good := f.control
+	f.control = "192.0.2.1:1"
+	r := f.run("status")
+	require.Equal(t, ExitRefused, r.code)
+	require.Contains(t, r.stderr, "the token is not sent to 192.0.2.1:1 without TLS")
+	f.control, f.token = good, "nobody"
+	r = f.run("status")
+	require.Equal(t, ExitRefused, r.code)
+	require.Contains(t, r.stderr, "belongs to no operator")
+}
+
+// Guards against an audit check that does not notice another history.
+func TestAuditCheck(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	var first struct {
+		Head struct {
+			Sequence uint64
+			Hash     string
+		}
+	}
+	require.NoError(t, json.Unmarshal([]byte(f.runDone("audit", "--check", "-o", "json")), &first))
+	require.Equal(t, uint64(4), first.Head.Sequence)
+	f.runDone("drain", "manifest-desk/h1")
+	head := "4:" + first.Head.Hash
+	f.runDone("audit", "--check", "--expect", head)
+	flipped := "4:" + strings.Map(func(r rune) rune { return map[bool]rune{true: '1', false: '0'}[r == '0'] }, first.Head.Hash)
+	for _, expect := range []string{flipped, "99:" + first.Head.Hash} {
+		r := f.run("audit", "--check", "--expect", expect)
+		require.Equal(t, ExitTampered, r.code)
+		require.Contains(t, r.stderr, "the audit trail was changed")
+	}
+}
+
+// Guards against a watch that misses lines or does not end.
+func TestWatch(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	ctx, cancel := context.WithCancel(t.Context())
+	output := &lineWriter{lines: make(chan string, 100)}
+	done := make(chan int, 1)
+	token := f.write("watch-token", "bello")
+	go func() {
+		done <- Run(ctx, []string{"--control", f.control, "--token-file", token, "watch", "--after", "4", "-o", "json"}, output, new(bytes.Buffer))
+	}()
+	f.runDone("drain", "manifest-desk/h1")
+	f.runDone("confirm", f.openPlan())
+	for _, event := range []string{"intent", "plan_shown", "confirmation", "outcome"} {
+		select {
+		case line := <-output.lines:
+			require.Contains(t, line, `"event":"`+event+`"`)
+		case <-time.After(20 * time.Second):
+			t.Fatal("no line for " + event)
+		}
+	}
+	cancel()
+	require.Equal(t, ExitDone, <-done)
+}
+
+type lineWriter struct{ lines chan string }
+
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.lines <- string(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/rwctl/services/presenter/presenter.go
@@ -0,0 +1,174 @@
+// Package presenter writes what control answers, as text or JSON.
+package presenter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/redwingledge/redwingledge/shared/models/auditor"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+// Format is the form of the output.
+type Format string
+
+// Formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// Presenter writes answers to an output.
+type Presenter struct {
+	w      io.Writer
+	format Format
+}
+
+// New returns a Presenter.
+func New(w io.Writer, format Format) *Presenter { return &Presenter{w: w, format: format} }
+
+// outcome is the JSON form of an answer to a change.
+type outcome struct {
+	RequestID string `json:"request_id"`
+	operator.Answer
+}
+
+// WriteAnswer writes the answer to CreatePlan or ConfirmPlan.
+func (p *Presenter) WriteAnswer(requestID string, answer operator.Answer) error {
+	if p.format == FormatJSON {
+		return p.writeJSON(outcome{RequestID: requestID, Answer: answer})
+	}
+	var b strings.Builder
+	if r := answer.Refusal; r != nil {
+		fmt.Fprintf(&b, "Refused: %s\n", r.Message)
+		for _, line := range r.Differences {
+			fmt.Fprintf(&b, "  %s\n", strings.ReplaceAll(line, "\n", "\n  "))
+		}
+		for _, change := range r.Changes {
+			fmt.Fprintf(&b, "  %s\n", change)
+		}
+		if answer.Plan != nil {
+			b.WriteString("\nThis plan takes its place.\n\n")
+		}
+	}
+	if plan := answer.Plan; plan != nil {
+		if plan.State == operator.PlanConfirmed {
+			fmt.Fprintf(&b, "Confirmed: plan %s by %s: %s\nVersion %d is in force.\n", plan.ID, plan.Operator, plan.Intent, plan.Version)
+		} else {
+			fmt.Fprintf(&b, "%s\nNothing has changed yet. To carry the plan out:\n  rwctl confirm %s\n", plan.Text(), plan.ID)
+		}
+	}
+	return p.writeText(b.String())
+}
+
+// WriteStatus writes the status of the system.
+func (p *Presenter) WriteStatus(s operator.Status) error {
+	if p.format == FormatJSON {
+		return p.writeJSON(s)
+	}
+	return p.writeTable(func(w io.Writer) {
+		fmt.Fprintf(w, "version\t%d\n", s.Version)
+		if c := s.LastChange; c != nil {
+			fmt.Fprintf(w, "last change\t%s by %s: %s (plan %s)\n", c.Time, c.Operator, c.Summary, c.Plan)
+		}
+		fmt.Fprintf(w, "leader\t%s, %d control replicas\n", s.Replica, len(s.Control))
+		for _, d := range s.DataCentres {
+			state := "in service"
+			if d.TakenOut {
+				state = "taken out"
+			}
+			fmt.Fprintf(w, "data centre %s\t%s, region %s\n", d.Name, state, d.Region)
+		}
+		for _, id := range s.Drained {
+			fmt.Fprintf(w, "drained\t%s\n", id)
+		}
+		load := fmt.Sprintf("%d of %d entries and gateways report", s.Load.Reporters, s.Load.Expected)
+		if s.Load.IsKnown() {
+			load += ", the oldest at " + s.Load.Oldest.String()
+		}
+		fmt.Fprintf(w, "load\t%s\n", load)
+		for _, g := range s.Load.Groups {
+			fmt.Fprintf(w, "%s in %s\t%d of %d backend servers ready, %d flows, %d connections\n", g.Service, g.DataCentre, g.Ready, g.Servers, g.Flows, g.Connections)
+		}
+		fmt.Fprintf(w, "open plans\t%d\n", s.OpenPlans)
+		fmt.Fprintf(w, "audit head\t%s\n", s.AuditHead)
+	})
+}
+
+// WritePlans writes a list of plans.
+func (p *Presenter) WritePlans(plans []operator.Plan) error {
+	if p.format == FormatJSON {
+		return p.writeJSON(slices.Concat([]operator.Plan{}, plans))
+	}
+	return p.writeTable(func(w io.Writer) {
+		fmt.Fprintln(w, "PLAN\tSTATE\tCREATED\tEXPIRES\tBASE\tOPERATOR\tINTENT")
+		for _, plan := range plans {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", plan.ID, plan.State, plan.Created, plan.Expires, plan.BaseVersion, plan.Operator, plan.Intent)
+		}
+	})
+}
+
+// WriteLine writes one line of the audit trail. JSON output has one document a
+// line.
+func (p *Presenter) WriteLine(line auditor.Line) error {
+	if p.format == FormatJSON {
+		data, err := json.Marshal(line)
+		if err != nil {
+			return fmt.Errorf("encode the output: %w", err)
+		}
+		return p.writeText(string(data) + "\n")
+	}
+	who := line.Operator
+	if who == "" {
+		who = "(unknown)"
+	}
+	text := fmt.Sprintf("%d %s %s %s", line.Sequence, line.Time, who, line.Event)
+	if line.Plan != "" {
+		text += " plan " + line.Plan
+	}
+	return p.writeText(text + ": " + strings.ReplaceAll(line.Text, "\n", " ") + "\n")
+}
+
+// check is the JSON form of a successful audit check.
+type check struct {
+	Checked uint64       `json:"checked"`
+	Head    auditor.Head `json:"head"`
+}
+
+// WriteCheck writes the result of a successful audit check.
+func (p *Presenter) WriteCheck(head auditor.Head) error {
+	if p.format == FormatJSON {
+		return p.writeJSON(check{Checked: head.Sequence, Head: head})
+	}
+	return p.writeText(fmt.Sprintf("The hash chain of %d lines is unbroken.\nKeep this head, and give it to a later check with --expect:\n  %s\n", head.Sequence, head))
+}
+
+func (p *Presenter) writeTable(fill func(io.Writer)) error {
+	const padding = 2
+	w := tabwriter.NewWriter(p.w, 0, 0, padding, ' ', 0)
+	fill(w)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write the output: %w", err)
+	}
+	return nil
+}
+
+func (p *Presenter) writeJSON(v any) error {
+	encoder := json.NewEncoder(p.w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(v); err != nil {
+		return fmt.Errorf("write the output: %w", err)
+	}
+	return nil
+}
+
+func (p *Presenter) writeText(text string) error {
+	if _, err := io.WriteString(p.w, text); err != nil {
+		return fmt.Errorf("write the output: %w", err)
+	}
+	return nil
+}
