Join the planner to the replicated log

Cause: control had a log without commands and a planner without a log. Change: adapter between the two, the operators' address in the control program, removal of replicas that the configuration no longer lists. A replica is only removed once every listed replica may vote, so that a declaration with wrong names costs no replica. Ruled out: removing the old replica when the plan is confirmed, because a replacement that never joins would leave a smaller cluster. Conclusion: operators can plan and confirm against a running control.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/routers/operators"
+	"github.com/redwingledge/redwingledge/control/services/adapter"
 	"github.com/redwingledge/redwingledge/control/services/driver"
+	"github.com/redwingledge/redwingledge/control/services/planner"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
@@ -24,31 +29,31 @@
 // readyPoll is the time between two checks of readiness.
 const readyPoll = 100 * time.Millisecond
 
+// membershipPeriod is the time between two comparisons of the membership with the
+// configuration.
+const membershipPeriod = 2 * time.Second
+
+// operatorStopTimeout bounds the wait for calls of operators at a stop.
+const operatorStopTimeout = 5 * time.Second
+
 // services assembles the replica. Hooks start in this order and stop in reverse.
 func services() fx.Option {
 	return fx.Options(
-		fx.Provide(loadTLS, newReplica, newApplier),
-		fx.Invoke(startReplica, startServer, startReadiness),
+		fx.Provide(loadTLS, planner.NewMachine, newReplica, newApplier, newRouter),
+		fx.Invoke(startReplica, startServer, startOperators, startMembership, startReadiness),
 	)
 }
 
 func loadTLS(s settings) (*tls.Config, error) { return s.Load() }
 
-// noCommands is the state of a control program without plans.
-type noCommands struct{}
-
-// Apply refuses every command.
-func (noCommands) Apply(uint64, []byte) ([]byte, error) {
-	return nil, errors.New("this program has no commands")
+func newApplier(machine *planner.Machine) replicator.Applier {
+	return adapter.Applier{Machine: machine}
 }
 
-// Snapshot returns the empty state.
-func (noCommands) Snapshot() ([]byte, error) { return nil, nil }
-
-// Restore restores the empty state.
-func (noCommands) Restore([]byte) error { return nil }
-
-func newApplier() replicator.Applier { return noCommands{} }
+func newRouter(s settings, replica *driver.Driver, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) *operators.Router {
+	service := planner.NewService(adapter.NewProposer(replica, machine), machine, clock, rand.Reader)
+	return operators.New(service, s.Settings, s.HasCertificates(), counters, logger)
+}
 
 // newReplica opens the store and registers the replica that runs on it.
 func newReplica(lc fx.Lifecycle, s settings, config *tls.Config, applier replicator.Applier, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) (*driver.Driver, error) {
@@ -118,6 +123,81 @@
 	return nil
 }
 
+// startOperators serves operators, entries and gateways, and closes expired plans.
+func startOperators(lc fx.Lifecycle, s settings, config *tls.Config, router *operators.Router, clock timer.Service, logger *slog.Logger) error {
+	server, err := transporter.Listen(s.OperatorAddress, operators.ServerTLS(config), router.Services()...)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { router.RunExpiry(ctx, clock) })
+			running.Go(func() {
+				if err := server.Serve(); err != nil {
+					logger.Error("operators' server failed", "error", err)
+				}
+			})
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			// Long polls of entries last up to 30 s and lose nothing when cut.
+			ctx, cancelStop := context.WithTimeout(stop, operatorStopTimeout)
+			defer cancelStop()
+			server.GracefulStop(ctx)
+			running.Wait()
+			return nil
+		},
+	})
+	return nil
+}
+
+// startMembership removes replicas that the configuration no longer lists.
+func startMembership(lc fx.Lifecycle, replica *driver.Driver, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ticks := clock.Subscribe("replica membership", membershipPeriod)
+	var running sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() {
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-ticks.C:
+						removeSurplus(ctx, replica, machine, counters, logger)
+					}
+				}
+			})
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			running.Wait()
+			ticks.Cancel()
+			return nil
+		},
+	})
+}
+
+func removeSurplus(ctx context.Context, replica *driver.Driver, machine *planner.Machine, counters *reporter.Counters, logger *slog.Logger) {
+	status := replica.Status()
+	if status.Role != replicator.RoleLeader || !status.HasQuorum {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, membershipPeriod)
+	defer cancel()
+	for _, name := range adapter.FindSurplus(status, machine.Catalog()) {
+		if err := replica.RemoveReplica(ctx, name); err != nil {
+			counters.Int("replica_removal_failures").Add(1)
+			continue
+		}
+		logger.Info("removed a replica that the configuration no longer lists", "name", name)
+	}
+}
+
 // startReadiness reports ready while a leader with a majority is known.
 func startReadiness(lc fx.Lifecycle, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
 	ticks := clock.Subscribe("readiness", readyPoll)
--- a/control/cmd/control/settings.go
+++ b/control/cmd/control/settings.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/routers/operators"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/setting"
@@ -29,7 +30,8 @@
 )
 
 type settings struct {
-	runner.Common `embed:""`
+	runner.Common      `embed:""`
+	operators.Settings `embed:""`
 
 	Name        string                    `name:"name" env:"REDWINGLEDGE_NAME" required:"" help:"Name of this replica. With certificates it must be the common name."`
 	Replicas    map[string]netip.AddrPort `name:"replica" env:"REDWINGLEDGE_REPLICAS" required:"" mapsep:"," placeholder:"NAME=IP:PORT" help:"Name and gRPC address of a control replica; may be repeated or separated by commas. All replicas need the same list of 1, 3, 5 or 7, with themselves."`
@@ -51,6 +53,7 @@
 // Check adds a problem for each wrong value.
 func (s *settings) Check(problems *setting.Problems) {
 	s.CheckCommon(problems)
+	s.CheckOperators(problems, s.HasCertificates())
 	s.checkReplicas(problems)
 	if s.DataFolder == "" {
 		problems.Addf("data-folder", "must not be empty")
--- /dev/null
+++ b/control/services/adapter/adapter.go
@@ -0,0 +1,100 @@
+// Package adapter joins the planner to the replicated log.
+package adapter
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+
+	"github.com/redwingledge/redwingledge/control/services/planner"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+)
+
+// Applier is the planner's machine as the state of the replicated log.
+type Applier struct {
+	*planner.Machine
+}
+
+var _ replicator.Applier = Applier{}
+
+// Apply carries out a committed command. Refusals are part of the result.
+func (a Applier) Apply(index uint64, command []byte) ([]byte, error) {
+	return a.Machine.Apply(index, command), nil
+}
+
+// Proposer is a replica as the planner sees it.
+type Proposer struct {
+	replica replicator.Proposer
+	machine *planner.Machine
+}
+
+var _ planner.Proposer = (*Proposer)(nil)
+
+// NewProposer returns a Proposer that appends commands through replica and knows
+// the operators' addresses of the replicas from machine.
+func NewProposer(replica replicator.Proposer, machine *planner.Machine) *Proposer {
+	return &Proposer{replica: replica, machine: machine}
+}
+
+// Propose appends a command; see planner.Proposer.
+func (p *Proposer) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	result, err := p.replica.Propose(ctx, command)
+	return result, translate(err)
+}
+
+// ReadBarrier waits for all that is committed; see planner.Proposer.
+func (p *Proposer) ReadBarrier(ctx context.Context) error {
+	return translate(p.replica.ReadBarrier(ctx))
+}
+
+// Status describes the replica; see planner.Proposer.
+func (p *Proposer) Status() planner.Status {
+	status := p.replica.Status()
+	return planner.Status{
+		Replica: status.Name, IsLeader: status.Role == replicator.RoleLeader && status.HasQuorum,
+		Leader: status.Leader, LeaderAddress: p.operatorAddress(status.Leader),
+	}
+}
+
+func (p *Proposer) operatorAddress(name string) netip.AddrPort {
+	for _, replica := range p.machine.Catalog().Control {
+		if replica.Name == name {
+			return replica.OperatorAddress
+		}
+	}
+	return netip.AddrPort{}
+}
+
+func translate(err error) error {
+	var notLeader replicator.ErrNotLeader
+	if errors.As(err, &notLeader) {
+		return planner.ErrNotLeader{Leader: notLeader.Leader}
+	}
+	return err
+}
+
+// FindSurplus returns the names of the replicas in the membership that the
+// configuration no longer lists. It returns none until every listed replica may
+// vote, so that a wrong list or a replacement that has not joined yet never costs
+// a replica, and it never names the replica itself.
+func FindSurplus(status replicator.Status, catalog cataloger.Catalog) []string {
+	voters := make(map[string]bool, len(status.Membership.Members))
+	for _, member := range status.Membership.Members {
+		voters[member.Name] = voters[member.Name] || member.Voter
+	}
+	listed := make(map[string]bool, len(catalog.Control))
+	for _, replica := range catalog.Control {
+		if !voters[replica.Name] {
+			return nil
+		}
+		listed[replica.Name] = true
+	}
+	var surplus []string
+	for _, member := range status.Membership.Members {
+		if len(listed) > 0 && !listed[member.Name] && member.Name != status.Name {
+			surplus = append(surplus, member.Name)
+		}
+	}
+	return surplus
+}
--- /dev/null
+++ b/demo/services/demonstrator/system.go
@@ -0,0 +1,289 @@
+// Package demonstrator runs the whole system on one machine: control, entries and
+// a gateway as processes, with a stand-in fabric, callers and backend servers.
+package demonstrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/demo/services/announcer"
+	"github.com/redwingledge/redwingledge/demo/services/dialer"
+	"github.com/redwingledge/redwingledge/demo/services/responder"
+	"github.com/redwingledge/redwingledge/demo/services/sprayer"
+	"github.com/redwingledge/redwingledge/demo/services/starter"
+	shared "github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+const (
+	vni          = 4096
+	region       = "ng-north"
+	operatorName = "demo"
+	// Tokens of the demonstration; they protect nothing outside this machine.
+	operatorToken = "demo-operator-token"
+	serviceToken  = "demo-service-token"
+
+	fabricCheckPeriod = 100 * time.Millisecond
+	startTimeout      = 30 * time.Second
+)
+
+// Settings say where the programs are and where files go.
+type Settings struct {
+	// Programs is the folder with the binaries control, entry, gateway and rwctl.
+	Programs string
+	// Folder gets the logs and the data of control. It must exist.
+	Folder string
+	// Seed drives the random choices of the fabric.
+	Seed uint64
+}
+
+// entryProcess is an entry with its addresses.
+type entryProcess struct {
+	*starter.Process
+	packets  netip.AddrPort
+	announce netip.AddrPort
+	grpc     netip.AddrPort
+}
+
+// backend is a stand-in backend server.
+type backend struct {
+	*responder.Server
+	announcer *announcer.Announcer
+}
+
+// System is a running system. Its methods must not be called concurrently.
+type System struct {
+	settings Settings
+	fabric   *sprayer.Sprayer
+	callers  map[netip.Addr]*dialer.Caller
+	backends map[shared.ID]*backend
+	control  *starter.Process
+	gateway  *starter.Process
+	operator netip.AddrPort
+	replica  netip.AddrPort
+
+	mu      sync.Mutex
+	entries map[string]*entryProcess
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// Start runs control and the stand-in fabric.
+func Start(ctx context.Context, settings Settings) (*System, error) {
+	fabric, err := sprayer.Listen(netip.MustParseAddrPort("127.0.0.1:0"), vni, settings.Seed)
+	if err != nil {
+		return nil, err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &System{
+		settings: settings, fabric: fabric,
+		callers:  make(map[netip.Addr]*dialer.Caller),
+		backends: make(map[shared.ID]*backend),
+		entries:  make(map[string]*entryProcess),
+		ctx:      background, cancel: cancel,
+	}
+	s.running.Go(fabric.Serve)
+	s.running.Go(s.checkEntries)
+	if err := s.startControl(ctx); err != nil {
+		return nil, errors.Join(err, s.Stop(ctx))
+	}
+	return s, nil
+}
+
+// Stop ends all processes and goroutines. It returns an error for each process
+// that did not stop cleanly.
+func (s *System) Stop(ctx context.Context) error {
+	var errs []error
+	for _, name := range s.EntryNames() {
+		errs = append(errs, s.StopEntry(ctx, name))
+	}
+	for _, process := range []*starter.Process{s.gateway, s.control} {
+		if process != nil {
+			errs = append(errs, process.Stop(ctx))
+		}
+	}
+	s.cancel()
+	errs = append(errs, s.fabric.Close())
+	s.running.Wait()
+	return errors.Join(errs...)
+}
+
+// Fabric returns the stand-in fabric.
+func (s *System) Fabric() *sprayer.Sprayer { return s.fabric }
+
+// EntryNames returns the names of the running entries in order.
+func (s *System) EntryNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.entries))
+	for name := range s.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// StartEntry runs an entry and waits until it is ready.
+func (s *System) StartEntry(ctx context.Context, name, dataCentre string) error {
+	addresses, err := starter.FreeAddresses(4)
+	if err != nil {
+		return err
+	}
+	admin, packets, announce, grpc := addresses[0], addresses[1], addresses[2], addresses[3]
+	arguments := []string{
+		"--name", name, "--data-centre", dataCentre, "--region", region,
+		"--grpc-address", grpc.String(), "--packet-address", packets.String(), "--announce-address", announce.String(),
+		"--fabric-address", s.fabric.Addr().String(), "--vni", strconv.Itoa(vni),
+		"--control", s.operator.String(), "--flows", "65536", "--drain-delay", "1s",
+	}
+	s.mu.Lock()
+	for _, entry := range s.entries {
+		arguments = append(arguments, "--seed", entry.grpc.String())
+	}
+	s.mu.Unlock()
+	process, err := starter.Start(name, s.program("entry"), s.settings.Folder, admin, arguments...)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.entries[name] = &entryProcess{Process: process, packets: packets, announce: announce, grpc: grpc}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return process.WaitReady(ctx)
+}
+
+// StopEntry ends an entry with SIGTERM.
+func (s *System) StopEntry(ctx context.Context, name string) error {
+	entry, err := s.getEntry(name)
+	if err != nil {
+		return err
+	}
+	err = entry.Stop(ctx)
+	s.forgetEntry(name)
+	return err
+}
+
+// KillEntry ends an entry with SIGKILL.
+func (s *System) KillEntry(name string) error {
+	entry, err := s.getEntry(name)
+	if err != nil {
+		return err
+	}
+	entry.Kill()
+	s.forgetEntry(name)
+	return nil
+}
+
+// AddBackend runs a stand-in backend server and announces it as ready.
+func (s *System) AddBackend(ctx context.Context, service, host, dataCentre string, address netip.AddrPort) error {
+	id := shared.ID{Service: service, Host: host}
+	server := responder.NewServer(service, host, address, s.fabric)
+	s.fabric.Attach(address.Addr(), server)
+	announced := announcer.New(shared.Announcement{
+		ID: id, Address: address, DataCentre: dataCentre, Slots: 2, Connections: 2000,
+		Incarnation: uint64(time.Now().UnixMilli()), State: shared.StateReady,
+	}, serviceToken, s.announceAddresses)
+	s.backends[id] = &backend{Server: server, announcer: announced}
+	s.running.Go(func() { announced.Run(s.ctx) })
+	return announced.Announce(ctx)
+}
+
+// BackendStats returns the counts of a stand-in backend server.
+func (s *System) BackendStats(service, host string) responder.Stats {
+	known, ok := s.backends[shared.ID{Service: service, Host: host}]
+	if !ok {
+		return responder.Stats{}
+	}
+	return known.Stats()
+}
+
+// Caller returns the stand-in caller with the given address.
+func (s *System) Caller(address netip.Addr) *dialer.Caller {
+	if caller, ok := s.callers[address]; ok {
+		return caller
+	}
+	caller := dialer.NewCaller(s.fabric)
+	s.callers[address] = caller
+	s.fabric.Attach(address, caller)
+	return caller
+}
+
+// checkEntries hands packets to ready entries only, as the health checks of a
+// fabric do.
+func (s *System) checkEntries() {
+	ticker := time.NewTicker(fabricCheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		entries := make([]*entryProcess, 0, len(s.entries))
+		for _, entry := range s.entries {
+			entries = append(entries, entry)
+		}
+		s.mu.Unlock()
+		var ready []netip.AddrPort
+		for _, entry := range entries {
+			if entry.IsReady(s.ctx) {
+				ready = append(ready, entry.packets)
+			}
+		}
+		s.fabric.SetEntries(ready)
+	}
+}
+
+func (s *System) announceAddresses() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(s.entries))
+	for _, entry := range s.entries {
+		addresses = append(addresses, entry.announce)
+	}
+	return addresses
+}
+
+func (s *System) getEntry(name string) (*entryProcess, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.entries[name]
+	if !ok {
+		return nil, fmt.Errorf("entry %q does not run", name)
+	}
+	return entry, nil
+}
+
+func (s *System) forgetEntry(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, name)
+}
+
+func (s *System) program(name string) string { return filepath.Join(s.settings.Programs, name) }
+
+func (s *System) writeFile(name, content string) (string, error) {
+	path := filepath.Join(s.settings.Folder, name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		return "", fmt.Errorf("write %s: %w", name, err)
+	}
+	return path, nil
+}
+
+func hashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- a/demo/services/dialer/dialer.go
+++ b/demo/services/dialer/dialer.go
@@ -97,7 +97,11 @@
 
 // Host returns the backend server that answers the flow, or "" before the first
 // answer.
-func (f *Flow) Host() string { return f.host }
+func (f *Flow) Host() string {
+	f.caller.mu.Lock()
+	defer f.caller.mu.Unlock()
+	return f.host
+}
 
 // Request sends a payload and waits for its answer. It returns ErrFlowBroken if
 // the flow was reset or answered by another backend server or service.
@@ -120,7 +124,9 @@
 	if f.host != "" && answer.Host != f.host {
 		return f.broken("moved from " + f.host + " to " + answer.Host)
 	}
+	f.caller.mu.Lock()
 	f.host = answer.Host
+	f.caller.mu.Unlock()
 	return nil
 }
 
