Add the demonstration of the whole system

Cause: README must offer one command that runs the main job. Change: rwdemo starts control and entries as processes with the stand-ins, applies a declaration, opens flows of four kinds, drains a backend server and restarts an entry.

--- /dev/null
+++ b/demo/services/demonstrator/scenario.go
@@ -0,0 +1,161 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Sizes of the demonstration.
+const (
+	hostsPerService = 4
+	flowsPerKind    = 12
+	firstPort       = 20000
+	// settleTime is the limit within which a change must be in force everywhere.
+	settleTime = 3 * time.Second
+	// observeTime is how long flows are watched after a change.
+	observeTime = 2 * time.Second
+)
+
+// Kinds returns a kind of flow for each protocol and IP version.
+func Kinds() []Kind {
+	caller4 := netip.MustParseAddr("203.0.113.7")
+	caller6 := netip.MustParseAddr("2001:db8:c::7")
+	return []Kind{
+		{Name: "TCP over IPv4", IsTCP: true, Caller: caller4, Address: netip.MustParseAddrPort("192.0.2.1:443"), Service: "sack-orders"},
+		{Name: "UDP over IPv4", Caller: caller4, Address: netip.MustParseAddrPort("192.0.2.2:5000"), Service: "allotments"},
+		{Name: "TCP over IPv6", IsTCP: true, Caller: caller6, Address: netip.MustParseAddrPort("[2001:db8::3]:443"), Service: "manifest-desk"},
+		{Name: "UDP over IPv6", Caller: caller6, Address: netip.MustParseAddrPort("[2001:db8::4]:5000"), Service: "status-feed"},
+	}
+}
+
+// HostAddress returns the address of a backend server of a kind.
+func HostAddress(kind, host int, address netip.AddrPort) netip.AddrPort {
+	if address.Addr().Is4() {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(kind), byte(host + 1)}), 8000)
+	}
+	ip := netip.MustParseAddr("2001:db8:b::").As16()
+	ip[13], ip[15] = byte(kind), byte(host+1)
+	return netip.AddrPortFrom(netip.AddrFrom16(ip), 8000)
+}
+
+// HostName returns the name of a backend server.
+func HostName(host int) string { return fmt.Sprintf("host-%d", host+1) }
+
+// Prepare starts the entries, puts the declaration in force and announces the
+// backend servers of all kinds.
+func (s *System) Prepare(ctx context.Context, entries int, show func(string)) error {
+	if err := s.Apply(ctx, show, s.Declaration(Kinds())); err != nil {
+		return err
+	}
+	for i := range entries {
+		if err := s.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), dataCentre(i)); err != nil {
+			return err
+		}
+	}
+	for k, kind := range Kinds() {
+		for host := range hostsPerService {
+			if err := s.AddBackend(ctx, kind.Service, HostName(host), dataCentre(host), HostAddress(k, host, kind.Address)); err != nil {
+				return err
+			}
+		}
+	}
+	// The first announcements ramp up; flows may start once they are in force.
+	return sleep(ctx, settleTime)
+}
+
+// Loads are the flows of all kinds.
+type Loads []*Load
+
+// OpenAll opens flows of each kind.
+func (s *System) OpenAll(ctx context.Context, first uint16) (Loads, error) {
+	var loads Loads
+	for i, kind := range Kinds() {
+		load, err := s.OpenFlows(ctx, kind, first+uint16(i*flowsPerKind), flowsPerKind)
+		if err != nil {
+			return loads, err
+		}
+		loads = append(loads, load)
+	}
+	return loads, nil
+}
+
+// Finish ends all flows and returns the answered requests and the failures.
+func (l Loads) Finish() (requests int, failures error) {
+	var errs []error
+	for _, load := range l {
+		answered, failed := load.Finish()
+		requests += answered
+		errs = append(errs, failed...)
+	}
+	return requests, errors.Join(errs...)
+}
+
+// Demonstrate opens flows of every kind, drains a backend server, restarts an
+// entry, and shows that the flows survive and new ones go elsewhere.
+func (s *System) Demonstrate(ctx context.Context, show func(string)) error {
+	loads, err := s.OpenAll(ctx, firstPort)
+	if err != nil {
+		return err
+	}
+	target := Kinds()[0].Service
+	show(fmt.Sprintf("%d flows are open; those of %s by backend server: %v\n", len(Kinds())*flowsPerKind, target, loads[0].Hosts()))
+	before := s.BackendStats(target, HostName(0))
+	if err := s.Change(ctx, show, "drain", target+"/"+HostName(0)); err != nil {
+		return err
+	}
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	later, err := s.OpenFlows(ctx, Kinds()[0], firstPort+1000, 4*flowsPerKind)
+	if err != nil {
+		return err
+	}
+	show(fmt.Sprintf("%d flows opened after the drain, by backend server: %v\n", 4*flowsPerKind, later.Hosts()))
+	if opened := s.BackendStats(target, HostName(0)).Opened - before.Opened; opened > 0 {
+		return fmt.Errorf("the drained backend server got %d new flows", opened)
+	}
+	if err := s.restartEntry(ctx, s.EntryNames()[0]); err != nil {
+		return err
+	}
+	if err := sleep(ctx, observeTime); err != nil {
+		return err
+	}
+	requests, failures := append(loads, later).Finish()
+	show(fmt.Sprintf("%d requests were answered on flows that were open during the drain and the restart of an entry\n", requests))
+	if failures != nil {
+		return fmt.Errorf("flows failed: %w", failures)
+	}
+	stats := s.fabric.Stats()
+	show(fmt.Sprintf("packets sprayed over the entries: %d, delivered: %d, malformed: %d\n", stats.Sprayed, stats.Delivered, stats.Malformed))
+	if stats.Malformed > 0 {
+		return fmt.Errorf("%d packets from entries were malformed", stats.Malformed)
+	}
+	return nil
+}
+
+// restartEntry stops an entry and starts it again under the same name.
+func (s *System) restartEntry(ctx context.Context, name string) error {
+	if err := s.StopEntry(ctx, name); err != nil {
+		return err
+	}
+	return s.StartEntry(ctx, name, dataCentre(0))
+}
+
+func dataCentre(i int) string {
+	if i%2 == 0 {
+		return "kano-a"
+	}
+	return "kano-b"
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
