Report the load of entries to control

Cause: plans had no figures of flows. Change: an entry counts the flows that it owns on each backend server and reports them to control; the demonstration declares its entries, whose ports lie outside the range of outgoing connections. Ruled out: counting all cached flows, because packets are sprayed and each flow would count once per entry. Conclusion: control can state flows in a plan once backend servers are announced.

--- a/demo/services/demonstrator/control.go
+++ b/demo/services/demonstrator/control.go
@@ -127,6 +127,11 @@
 		fmt.Fprintf(&b, "  - name: %s\n    kind: flow\n    protocol: %s\n    addresses: [\"%s\"]\n    token_sha256: %s\n",
 			kind.Service, protocol, kind.Address, hashToken(serviceToken))
 	}
+	b.WriteString("entries:\n")
+	for i := range maxEntries {
+		name := entryName(i)
+		fmt.Fprintf(&b, "  - name: %s\n    data_centre: %s\n    address: %s\n", name, dataCentre(i), s.addresses[name].grpc)
+	}
 	fmt.Fprintf(&b, "control:\n  - name: %s\n    data_centre: kano-a\n    address: %s\n    operator_address: %s\n", controlName, s.replica, s.operator)
 	fmt.Fprintf(&b, "operators:\n  - name: %s\n    role: confirmer\n    token_sha256: %s\n", operatorName, hashToken(operatorToken))
 	return b.String()
--- a/demo/services/demonstrator/scenario.go
+++ b/demo/services/demonstrator/scenario.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	for i := range entries {
-		if err := s.StartEntry(ctx, fmt.Sprintf("entry-%d", i+1), dataCentre(i)); err != nil {
+		if err := s.StartEntry(ctx, entryName(i), dataCentre(i)); err != nil {
 			return err
 		}
 	}
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -46,12 +46,18 @@
 	Seed uint64
 }
 
-// entryProcess is an entry with its addresses.
+// maxEntries is the number of entries that the declaration lists.
+const maxEntries = 8
+
+// entryAddresses are those of an entry, which keeps them over restarts.
+type entryAddresses struct {
+	admin, packets, announce, grpc netip.AddrPort
+}
+
+// entryProcess is a running entry.
 type entryProcess struct {
 	*starter.Process
-	packets  netip.AddrPort
-	announce netip.AddrPort
-	grpc     netip.AddrPort
+	entryAddresses
 }
 
 // backend is a stand-in backend server.
@@ -71,6 +77,9 @@
 	operator netip.AddrPort
 	replica  netip.AddrPort
 
+	// addresses are those of all entries that the declaration lists.
+	addresses map[string]entryAddresses
+
 	mu      sync.Mutex
 	entries map[string]*entryProcess
 
@@ -88,10 +97,15 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s := &System{
 		settings: settings, fabric: fabric,
-		callers:  make(map[netip.Addr]*dialer.Caller),
-		backends: make(map[shared.ID]*backend),
-		entries:  make(map[string]*entryProcess),
-		ctx:      background, cancel: cancel,
+		callers:   make(map[netip.Addr]*dialer.Caller),
+		backends:  make(map[shared.ID]*backend),
+		entries:   make(map[string]*entryProcess),
+		addresses: make(map[string]entryAddresses),
+		ctx:       background, cancel: cancel,
+	}
+	if err := s.chooseAddresses(); err != nil {
+		cancel()
+		return nil, errors.Join(err, fabric.Close())
 	}
 	s.running.Go(fabric.Serve)
 	s.running.Go(s.checkEntries)
@@ -136,14 +150,13 @@
 
 // StartEntry runs an entry and waits until it is ready.
 func (s *System) StartEntry(ctx context.Context, name, dataCentre string) error {
-	addresses, err := starter.FreeAddresses(4)
-	if err != nil {
-		return err
+	a, ok := s.addresses[name]
+	if !ok {
+		return fmt.Errorf("entry %q is not in the declaration", name)
 	}
-	admin, packets, announce, grpc := addresses[0], addresses[1], addresses[2], addresses[3]
 	arguments := []string{
 		"--name", name, "--data-centre", dataCentre, "--region", region,
-		"--grpc-address", grpc.String(), "--packet-address", packets.String(), "--announce-address", announce.String(),
+		"--grpc-address", a.grpc.String(), "--packet-address", a.packets.String(), "--announce-address", a.announce.String(),
 		"--fabric-address", s.fabric.Addr().String(), "--vni", strconv.Itoa(vni),
 		"--control", s.operator.String(), "--flows", "65536", "--drain-delay", "1s",
 	}
@@ -152,12 +165,12 @@
 		arguments = append(arguments, "--seed", entry.grpc.String())
 	}
 	s.mu.Unlock()
-	process, err := starter.Start(name, s.program("entry"), s.settings.Folder, admin, arguments...)
+	process, err := starter.Start(name, s.program("entry"), s.settings.Folder, a.admin, arguments...)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.entries[name] = &entryProcess{Process: process, packets: packets, announce: announce, grpc: grpc}
+	s.entries[name] = &entryProcess{Process: process, entryAddresses: a}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -247,6 +260,19 @@
 	}
 }
 
+func (s *System) chooseAddresses() error {
+	for i := range maxEntries {
+		free, err := starter.FreeAddresses(4)
+		if err != nil {
+			return err
+		}
+		s.addresses[entryName(i)] = entryAddresses{admin: free[0], packets: free[1], announce: free[2], grpc: free[3]}
+	}
+	return nil
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (s *System) announceAddresses() []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/demo/services/starter/starter.go
+++ b/demo/services/starter/starter.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -119,34 +121,51 @@
 
 func (p *Process) closeLog() { p.once.Do(func() { _ = p.log.Close() }) }
 
+// Ports are taken below the range from which Linux picks ports for outgoing
+// connections, so that none of these takes a port before its process binds it.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+)
+
 // FreeAddresses returns loopback addresses whose TCP and UDP ports were free when
 // it looked.
 func FreeAddresses(count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, 0, count)
-	var held []net.Listener
-	defer func() {
-		for _, listener := range held {
-			_ = listener.Close()
-		}
-	}()
-	for len(addresses) < count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-		held = append(held, listener)
-		address, err := netip.ParseAddrPort(listener.Addr().String())
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-		packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-		if err != nil {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := netip.AddrPortFrom(loopback, uint16(port))
+		if !isFree(address) {
 			continue
 		}
-		if err := packets.Close(); err != nil {
-			return nil, fmt.Errorf("release a port: %w", err)
-		}
 		addresses = append(addresses, address)
+		if len(addresses) == count {
+			return addresses, nil
+		}
+	}
+	return nil, fmt.Errorf("only %d of %d ports are free between %d and %d", len(addresses), count, firstPort, lastPort)
+}
+
+// nextPort starts at a random position, so that two test runs on one machine
+// rarely try the same ports.
+var nextPort = newPortCounter()
+
+func newPortCounter() *atomic.Uint32 {
+	counter := new(atomic.Uint32)
+	counter.Store(rand.Uint32N(lastPort - firstPort))
+	return counter
+}
+
+func isFree(address netip.AddrPort) bool {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return false
+	}
+	packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		_ = listener.Close()
+		return false
 	}
-	return addresses, nil
+	return errors.Join(listener.Close(), packets.Close()) == nil
 }
--- a/entry/cmd/entry/services.go
+++ b/entry/cmd/entry/services.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -15,6 +16,7 @@
 	"github.com/redwingledge/redwingledge/entry/routers/decider"
 	"github.com/redwingledge/redwingledge/entry/routers/peers"
 	"github.com/redwingledge/redwingledge/entry/routers/receiver"
+	"github.com/redwingledge/redwingledge/entry/routers/sensor"
 	"github.com/redwingledge/redwingledge/entry/services/forwarder"
 	"github.com/redwingledge/redwingledge/entry/services/placer"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
@@ -46,7 +48,7 @@
 func services() fx.Option {
 	return fx.Options(
 		fx.Provide(loadTLS),
-		fx.Invoke(startPackets, startPeers, startDecider, startViews, startReadiness),
+		fx.Invoke(startPackets, startPeers, startDecider, startViews, startSensor, startReadiness),
 	)
 }
 
@@ -159,6 +161,31 @@
 	return nil
 }
 
+// startSensor reports load to control.
+func startSensor(lc fx.Lifecycle, s settings, config *tls.Config, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters) error {
+	packets, err := registrar.Lookup[*decider.Decider](registry, serviceDecider)
+	if err != nil {
+		return err
+	}
+	pool := transporter.NewPool(config)
+	load := sensor.New(sensor.Options{Name: s.Name, Control: s.Control, Pool: pool, Source: packets, Timer: clock, Counters: counters})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { load.Run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			running.Wait()
+			pool.Close()
+			return nil
+		},
+	})
+	return nil
+}
+
 // startReadiness reports ready once packets can be placed. It stops first: the
 // fabric is told to hand over no more packets, what the entry knows goes to its
 // successors, and packets are forwarded for the drain delay.
--- a/entry/routers/decider/decider.go
+++ b/entry/routers/decider/decider.go
@@ -44,6 +44,8 @@
 type work struct {
 	datagram *receiver.Datagram
 	input    forwarder.Input
+	// counts gets the flows of the entry.
+	counts chan<- []placer.FlowCount
 }
 
 // Decider owns the forwarder of an entry.
@@ -117,6 +119,21 @@
 // handled an input since.
 func (d *Decider) IsReady() bool { return d.ready.Load() }
 
+// CountFlows returns the flows that this entry owns on each backend server. It
+// returns false if the queue is full or ctx ends first.
+func (d *Decider) CountFlows(ctx context.Context) ([]placer.FlowCount, bool) {
+	counts := make(chan []placer.FlowCount, 1)
+	if !d.ring.TryPush(work{counts: counts}) {
+		return nil, false
+	}
+	select {
+	case c := <-counts:
+		return c, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // Leave hands over what the entry knows about flows. Packets are still handled.
 // It returns once that is done or ctx ends.
 func (d *Decider) Leave(ctx context.Context) {
@@ -161,6 +178,10 @@
 		next.datagram.Release()
 		return
 	}
+	if next.counts != nil {
+		next.counts <- d.forwarder.CountFlows()
+		return
+	}
 	for _, output := range d.forwarder.HandleInput(now, next.input) {
 		switch out := output.(type) {
 		case placer.SendMessage:
--- a/entry/services/forwarder/forwarder.go
+++ b/entry/services/forwarder/forwarder.go
@@ -288,3 +288,12 @@
 		return translator.ReasonNoBackendServer
 	}
 }
+
+// CountFlows returns the flows that this entry owns on each backend server.
+func (f *Forwarder) CountFlows() []placer.FlowCount {
+	counts := f.machine.CountFlows()
+	for i := range counts {
+		counts[i].Record.ID = originalID(counts[i].Record.ID)
+	}
+	return counts
+}
