--- /dev/null
+++ b/demo/services/demonstrator/demonstrator_test.go
@@ -0,0 +1,139 @@
+package demonstrator_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/demo/services/demonstrator"
+)
+
+const (
+	testTimeout = 3 * time.Minute
+	// changeLimit is the time within which a change must be in force everywhere.
+	changeLimit = 3 * time.Second
+	watchTime   = 2 * time.Second
+)
+
+// programs is the folder with the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the programs once for all tests.
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "redwingledge")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	const prefix = "github.com/redwingledge/redwingledge/"
+	build := exec.Command("go", "build", "-o", folder, prefix+"control/cmd/control", prefix+"entry/cmd/entry", prefix+"gateway/cmd/gateway", prefix+"rwctl/cmd/rwctl")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(string(output))
+	}
+	programs = folder
+	return m.Run()
+}
+
+// start runs a system with the given number of entries and its backend servers.
+func start(t *testing.T, entries int) (context.Context, *demonstrator.System) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	folder := t.TempDir()
+	system, err := demonstrator.Start(ctx, demonstrator.Settings{Programs: programs, Folder: folder, Seed: 1})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		stop, cancelStop := context.WithTimeout(context.Background(), time.Minute)
+		defer cancelStop()
+		if err := system.Stop(stop); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+		if t.Failed() {
+			logProcesses(t, folder)
+		}
+	})
+	require.NoError(t, system.Prepare(ctx, entries, func(string) {}))
+	return ctx, system
+}
+
+func logProcesses(t *testing.T, folder string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	for _, log := range logs {
+		content, err := os.ReadFile(log)
+		require.NoError(t, err)
+		t.Logf("%s:\n%s", filepath.Base(log), content)
+	}
+}
+
+// requireNoneBroken asserts that no flow failed and that flows were busy.
+func requireNoneBroken(t *testing.T, loads demonstrator.Loads) {
+	t.Helper()
+	requests, failures := loads.Finish()
+	require.NoError(t, failures)
+	require.Positive(t, requests)
+	t.Logf("%d requests were answered", requests)
+}
+
+func pause(t *testing.T, d time.Duration) {
+	t.Helper()
+	time.Sleep(d)
+}
+
+// Guards against flows that a drain or the planned restart of an entry breaks,
+// and against new flows at a drained backend server, with separate processes.
+func TestDrainAndRestart(t *testing.T) {
+	ctx, system := start(t, 3)
+	require.NoError(t, system.Demonstrate(ctx, func(text string) { t.Log(text) }))
+}
+
+// Guards against flows that break when backend servers of several services drain
+// and another entry joins in the same moment.
+func TestChangesTogether(t *testing.T) {
+	ctx, system := start(t, 2)
+	loads, err := system.OpenAll(ctx, 21000)
+	require.NoError(t, err)
+	for _, server := range []string{"sack-orders/host-1", "manifest-desk/host-2", "allotments/host-3"} {
+		require.NoError(t, system.Change(ctx, func(string) {}, "drain", server))
+	}
+	require.NoError(t, system.StartEntry(ctx, "entry-3", "kano-a"))
+	pause(t, changeLimit)
+	requireNoneBroken(t, loads)
+}
+
+// Guards against an entry that, after it was frozen, places flows with the view
+// that it had before. The flows opened meanwhile must survive its return.
+func TestFreeze(t *testing.T) {
+	ctx, system := start(t, 3)
+	loads, err := system.OpenAll(ctx, 22000)
+	require.NoError(t, err)
+	require.NoError(t, system.SignalEntry("entry-2", syscall.SIGSTOP))
+	require.NoError(t, system.Change(ctx, func(string) {}, "drain", "sack-orders/host-1"))
+	pause(t, changeLimit)
+	later, err := system.OpenAll(ctx, 23000)
+	require.NoError(t, err)
+	require.NoError(t, system.SignalEntry("entry-2", syscall.SIGCONT))
+	pause(t, changeLimit)
+	requireNoneBroken(t, append(loads, later...))
+}
+
+// Guards against flows that break when an entry dies without notice.
+func TestKill(t *testing.T) {
+	ctx, system := start(t, 3)
+	loads, err := system.OpenAll(ctx, 24000)
+	require.NoError(t, err)
+	require.NoError(t, system.KillEntry("entry-1"))
+	pause(t, watchTime)
+	requireNoneBroken(t, loads)
+}
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/redwingledge/redwingledge/demo/services/announcer"
@@ -199,6 +200,15 @@
 	return nil
 }
 
+// SignalEntry sends a signal, such as SIGSTOP or SIGCONT, to an entry.
+func (s *System) SignalEntry(name string, signal syscall.Signal) error {
+	entry, err := s.getEntry(name)
+	if err != nil {
+		return err
+	}
+	return entry.Signal(signal)
+}
+
 // AddBackend runs a stand-in backend server and announces it as ready.
 func (s *System) AddBackend(ctx context.Context, service, host, dataCentre string, address netip.AddrPort) error {
 	id := shared.ID{Service: service, Host: host}
