--- a/entry/models/viewer/builder.go
+++ b/entry/models/viewer/builder.go
@@ -64,7 +64,10 @@
 func (b *Builder) SetJoined() { b.next.Joined, b.dirty = true, true }
 
 // SetReady sets whether the configuration is current.
-func (b *Builder) SetReady(ready bool) { b.next.Ready, b.dirty = ready, true }
+func (b *Builder) SetReady(ready bool) {
+	b.next.Ready, b.next.ReadyRevision = ready, b.revision()
+	b.dirty = true
+}
 
 // AddThaw counts a freeze, after which the configuration may be old.
 func (b *Builder) AddThaw() {
--- a/entry/models/viewer/view.go
+++ b/entry/models/viewer/view.go
@@ -33,7 +33,8 @@
 	Joined bool
 	// Ready is set while the configuration is as new as a majority of the
 	// reachable entries know. It is unset after a freeze.
-	Ready bool
+	Ready         bool
+	ReadyRevision uint64
 	// Thaws counts how often the process did not run for over a second.
 	Thaws uint64
 
@@ -74,10 +75,10 @@
 }
 
 // ChangedSince returns the records that changed and those that were removed
-// after the given revision. It returns false if the view does not remember that
-// far back.
+// after the given revision, or all records after revision 0. It returns false if
+// the view does not remember that far back.
 func (v *View) ChangedSince(revision uint64) (changed []announcer.Record, removed []announcer.ID, ok bool) {
-	if revision > v.Revision || (len(v.Removed) == maxRemoved && revision < v.Removed[0].Revision) {
+	if revision > v.Revision || (revision > 0 && len(v.Removed) == maxRemoved && revision < v.Removed[0].Revision) {
 		return nil, nil, false
 	}
 	for _, r := range v.Records {
--- /dev/null
+++ b/entry/routers/announcements/announcements.go
@@ -0,0 +1,217 @@
+// Package announcements is the HTTP/JSON endpoint at which backend servers
+// announce themselves: PUT /v1/announcements/{service}/{host}.
+package announcements
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/services/leaser"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+)
+
+// MaxBodyBytes bounds the body of an announcement.
+const MaxBodyBytes = 4096
+
+const (
+	pattern      = "/v1/announcements/{service}/{host}"
+	applyTimeout = time.Second
+)
+
+// Announcer applies checked announcements.
+type Announcer interface {
+	// Announce returns an error if the announcement cannot be taken in now.
+	Announce(ctx context.Context, a announcer.Announcement) (leaser.Answered, error)
+	// Lease returns how long an announcement stays in force.
+	Lease() time.Duration
+}
+
+// Answer is the body of the answer to an accepted announcement.
+type Answer struct {
+	// LeaseSeconds is how long the announcement stays in force. A backend server
+	// should renew it three times as often.
+	LeaseSeconds float64 `json:"lease_seconds"`
+}
+
+// Handler serves the endpoint.
+type Handler struct {
+	announcer Announcer
+	catalog   func() *cataloger.Catalog
+	counters  *reporter.Counters
+	mux       *http.ServeMux
+}
+
+// NewHandler returns a Handler. The function catalog returns the configuration in
+// force, or nil if there is none yet.
+func NewHandler(a Announcer, catalog func() *cataloger.Catalog, counters *reporter.Counters) *Handler {
+	h := &Handler{announcer: a, catalog: catalog, counters: counters, mux: http.NewServeMux()}
+	counters.Int(counterAccepted)
+	for _, r := range reasons {
+		counters.Int(counterRefused + string(r))
+	}
+	h.mux.HandleFunc("PUT "+pattern, h.put)
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Allow", http.MethodPut)
+		h.refuse(w, problem{Status: http.StatusMethodNotAllowed, Reason: reasonMethod, Detail: "use PUT"})
+	})
+	h.mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		h.refuse(w, problem{Status: http.StatusNotFound, Reason: reasonPath, Detail: "use " + pattern})
+	})
+	return h
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
+	id := announcer.ID{Service: r.PathValue("service"), Host: r.PathValue("host")}
+	catalog := h.catalog()
+	if catalog == nil {
+		w.Header().Set("Retry-After", "1")
+		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonNoConfiguration, Detail: "no configuration has been received yet"})
+		return
+	}
+	service, err := catalog.GetService(id.Service)
+	if err != nil {
+		h.refuse(w, problem{Status: http.StatusNotFound, Reason: reasonService, Detail: err.Error()})
+		return
+	}
+	if p, ok := authenticate(r, service, id); !ok {
+		w.Header().Set("WWW-Authenticate", `Bearer realm="announcements"`)
+		h.refuse(w, p)
+		return
+	}
+	a, p, ok := readAnnouncement(w, r, id)
+	if !ok {
+		h.refuse(w, p)
+		return
+	}
+	if p, ok := checkPlace(a, service, catalog); !ok {
+		h.refuse(w, p)
+		return
+	}
+	h.apply(w, r, a)
+}
+
+// apply hands the announcement on and answers with what became of it.
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request, a announcer.Announcement) {
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	answer, err := h.announcer.Announce(ctx, a)
+	switch {
+	case err != nil:
+		w.Header().Set("Retry-After", "1")
+		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonBusy, Detail: err.Error()})
+	case answer.Stale:
+		h.refuse(w, problem{Status: http.StatusConflict, Reason: reasonStale, Detail: "a later announcement is already known"})
+	case answer.AddressUser != announcer.ID{}:
+		h.refuse(w, problem{
+			Status: http.StatusConflict, Reason: reasonAddress,
+			Detail: fmt.Sprintf("address %s belongs to %s", a.Address, answer.AddressUser),
+		})
+	default:
+		h.counters.Int(counterAccepted).Add(1)
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(Answer{LeaseSeconds: h.announcer.Lease().Seconds()})
+	}
+}
+
+// authenticate checks the client certificate or the bearer token (RFC 6750).
+func authenticate(r *http.Request, service cataloger.Service, id announcer.ID) (problem, bool) {
+	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
+		if isCertificateFor(r.TLS.PeerCertificates[0], id) {
+			return problem{}, true
+		}
+	}
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return problem{
+			Status: http.StatusUnauthorized, Reason: reasonCredentials,
+			Detail: "send the service's bearer token or a client certificate for it",
+		}, false
+	}
+	want, err := hex.DecodeString(service.TokenSHA256)
+	sum := sha256.Sum256([]byte(token))
+	if err != nil || len(want) != len(sum) || subtle.ConstantTimeCompare(sum[:], want) != 1 {
+		return problem{Status: http.StatusForbidden, Reason: reasonToken, Detail: fmt.Sprintf("the token does not belong to service %q", id.Service)}, false
+	}
+	return problem{}, true
+}
+
+// isCertificateFor reports whether the certificate is for all backend servers of
+// the service or for this one: its common name is SERVICE or SERVICE/HOST.
+func isCertificateFor(c *x509.Certificate, id announcer.ID) bool {
+	return c.Subject.CommonName == id.Service || c.Subject.CommonName == id.String()
+}
+
+// readAnnouncement decodes and checks the body.
+func readAnnouncement(w http.ResponseWriter, r *http.Request, id announcer.ID) (announcer.Announcement, problem, bool) {
+	if media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || media != "application/json" {
+		return announcer.Announcement{}, problem{
+			Status: http.StatusUnsupportedMediaType, Reason: reasonMediaType, Detail: "send Content-Type: application/json",
+		}, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return announcer.Announcement{}, problem{
+			Status: http.StatusRequestEntityTooLarge, Reason: reasonSize, Detail: fmt.Sprintf("the body has more than %d bytes", MaxBodyBytes),
+		}, false
+	} else if err != nil {
+		return announcer.Announcement{}, problem{Status: http.StatusBadRequest, Reason: reasonBody, Detail: "the body ended early"}, false
+	}
+	a, err := Parse(body, id)
+	if err != nil {
+		return announcer.Announcement{}, problem{Status: http.StatusBadRequest, Reason: reasonBody, Detail: err.Error()}, false
+	}
+	return a, problem{}, true
+}
+
+// Parse decodes and checks the body of an announcement of the backend server id.
+// It refuses unknown fields and anything after the JSON value.
+func Parse(body []byte, id announcer.ID) (announcer.Announcement, error) {
+	var a announcer.Announcement
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		return announcer.Announcement{}, fmt.Errorf("decode the announcement: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return announcer.Announcement{}, errors.New("the body has data after the announcement")
+	}
+	if a.ID != id {
+		return announcer.Announcement{}, fmt.Errorf("the body is for %s, the path for %s", a.ID, id)
+	}
+	if err := a.Check(); err != nil {
+		return announcer.Announcement{}, err
+	}
+	return a, nil
+}
+
+// checkPlace refuses a backend server in a data centre in which it may not serve.
+func checkPlace(a announcer.Announcement, service cataloger.Service, catalog *cataloger.Catalog) (problem, bool) {
+	if _, err := catalog.GetDataCentre(a.DataCentre); err != nil {
+		return problem{Status: http.StatusForbidden, Reason: reasonDataCentre, Detail: err.Error()}, false
+	}
+	if len(service.DataCentres) > 0 && !slices.Contains(service.DataCentres, a.DataCentre) {
+		return problem{
+			Status: http.StatusForbidden, Reason: reasonDataCentre,
+			Detail: fmt.Sprintf("service %q may not be served in data centre %q", service.Name, a.DataCentre),
+		}, false
+	}
+	return problem{}, true
+}
