--- a/control/services/planner/change.go
+++ b/control/services/planner/change.go
@@ -9,6 +9,10 @@
 	"github.com/redwingledge/redwingledge/shared/models/operator"
 )
 
+// maxDrained bounds the list of drained backend servers. The design size has
+// 3,900 hosts; entries of hosts that are gone stay until they are undrained.
+const maxDrained = 10_000
+
 // changeCatalog returns the configuration that the intent asks for, or a refusal
 // if the intent does not fit the configuration in force.
 func changeCatalog(base cataloger.Catalog, intent operator.Intent, declared *cataloger.Catalog) (cataloger.Catalog, *operator.Refusal) {
@@ -64,6 +68,9 @@
 		}
 		return cataloger.Catalog{}, noChangef("%s is %s", id, state)
 	}
+	if drained && len(base.Drained) >= maxDrained {
+		return cataloger.Catalog{}, invalidf("%d backend servers are drained; undrain those that no longer exist", len(base.Drained))
+	}
 	return base.WithDrained(id, drained), nil
 }
 
--- a/control/services/planner/machine_test.go
+++ b/control/services/planner/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -287,3 +288,22 @@
 	}
 	require.LessOrEqual(t, len(f.machine.state.Plans), maxClosedPlans+maxOpenPlans)
 }
+
+// Guards against panics, and against a state that a damaged snapshot or command
+// changes.
+func FuzzRestoreAndApply(f *testing.F) {
+	m := NewMachine()
+	snapshot, err := m.Snapshot()
+	require.NoError(f, err)
+	command, err := Encode(CreatePlan{Request: Request{Bootstrap: true}, Intent: operator.Wrap(operator.Apply{})})
+	require.NoError(f, err)
+	f.Add(snapshot, command)
+	f.Fuzz(func(t *testing.T, snapshot, command []byte) {
+		m := NewMachine()
+		if err := m.Restore(snapshot); err != nil {
+			require.Zero(t, m.Catalog().Version)
+		}
+		m.Apply(math.MaxUint64, command)
+		require.NoError(t, m.VerifyAudit())
+	})
+}
--- a/control/services/planner/state.go
+++ b/control/services/planner/state.go
@@ -192,13 +192,18 @@
 }
 
 func (s *state) findPlan(id string) int {
-	return slices.IndexFunc(s.Plans, func(r record) bool { return r.Plan.ID == id })
+	for i := range s.Plans {
+		if s.Plans[i].Plan.ID == id {
+			return i
+		}
+	}
+	return -1
 }
 
 func (s *state) countOpenPlans() int {
 	count := 0
-	for _, r := range s.Plans {
-		if r.Plan.State == operator.PlanOpen {
+	for i := range s.Plans {
+		if s.Plans[i].Plan.State == operator.PlanOpen {
 			count++
 		}
 	}
--- a/rwctl/routers/commander/commander.go
+++ b/rwctl/routers/commander/commander.go
@@ -104,6 +104,7 @@
 func exitCode(err error) int {
 	var broken auditor.ErrChainBroken
 	switch {
+	// ErrNoAnswer comes first: it may contain an ErrNotAdmitted.
 	case requester.IsErrNoAnswer(err):
 		return ExitNoAnswer
 	case requester.IsErrNotAdmitted(err):
@@ -128,6 +129,10 @@
 	}
 	fmt.Fprintf(s.stderr, "request id: %s\n", id)
 	answer, err := requester.Call[Req, operator.Answer](s.ctx, s.requester, method, newRequest(id), 0)
+	if requester.IsErrNotAdmitted(err) && flags.RequestID != "" {
+		// This tells nothing about the earlier try with the same id.
+		return requester.ErrNoAnswer{Attempts: 1, MayHaveRun: true, Last: err}
+	}
 	if err != nil {
 		return err
 	}
--- a/rwctl/routers/commander/commander_test.go
+++ b/rwctl/routers/commander/commander_test.go
@@ -74,6 +74,23 @@
 	require.Contains(t, r.stdout, "already confirmed by amina")
 }
 
+// Guards against a false "refused": the confirmed change withdraws the token of
+// the operator whose answer is lost.
+func TestLostAnswerOfOwnRemoval(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	text := strings.NewReplacer("name: amina", "name: chidi", hashOf("amina"), hashOf("chidi")).Replace(declaration("kano-a", "kano-b"))
+	f.runDone("apply", f.write("next.yaml", text))
+	f.cluster.set(0, 1)
+	r := f.run("confirm", f.openPlan(), "--request-id", "r1")
+	require.Equal(t, uint64(2), f.cluster.machine.Catalog().Version)
+	require.Equal(t, ExitNoAnswer, r.code)
+	require.Contains(t, r.stderr, "may have been carried out")
+	r = f.run("confirm", "any", "--request-id", "r1")
+	require.Equal(t, ExitNoAnswer, r.code)
+}
+
 // Guards against a client that gives up at a follower, at a replica that is
 // down, or when the leader changes between commands.
 func TestFollowsTheLeader(t *testing.T) {
--- a/rwctl/services/requester/requester.go
+++ b/rwctl/services/requester/requester.go
@@ -121,6 +121,11 @@
 			}
 		}
 		if final := finalError(err); final != nil {
+			if mayHaveRun {
+				// An earlier attempt may have been carried out and be the very reason
+				// why this one is not admitted, such as a change of the own token.
+				return zero, ErrNoAnswer{Attempts: attempts, MayHaveRun: true, Last: final}
+			}
 			return zero, final
 		}
 		mayHaveRun = mayHaveRun || !errors.Is(err, errNoLeader)
