--- a/control/routers/operators/router_test.go
+++ b/control/routers/operators/router_test.go
@@ -274,3 +274,21 @@
 	require.Positive(t, answer.Interval)
 	require.Contains(t, f.create("amina's token", "c1", drain).Plan.Text(), "1,234 flows on manifest-desk/h1")
 }
+
+// Guards against plans that stay open because no replica closes them.
+func TestRunExpiry(t *testing.T) {
+	t.Parallel()
+	n, clock := &node{machine: planner.NewMachine()}, timer.NewFake(time.Unix(0, 0))
+	service := planner.NewService(n, n.machine, clock, rand.Reader)
+	router := operators.New(service, operators.Settings{}, false, reporter.NewCounters(), log.Discard())
+	answer, err := service.CreatePlan(t.Context(), planner.Identity{Bootstrap: true}, operator.CreatePlanRequest{
+		RequestID: "r", Intent: operator.Wrap(operator.Apply{Declaration: declaration()}),
+	})
+	require.NoError(t, err)
+	require.Nil(t, answer.Refusal)
+	go router.RunExpiry(t.Context(), clock)
+	require.Eventually(t, func() bool {
+		clock.Advance(planner.PlanLifetime)
+		return len(n.machine.Plans(false, 1)) == 0
+	}, 10*time.Second, 10*time.Millisecond)
+}
--- a/control/services/planner/describe_apply.go
+++ b/control/services/planner/describe_apply.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// hashField is shown without its value: a weak token could be guessed from it.
+const hashField = "token_sha256"
+
 // differingFields names the fields of a struct that differ, with their values.
 func differingFields(before, after any) []string {
 	var fields []string
@@ -122,7 +125,12 @@
 		if isEmptyList || reflect.DeepEqual(x.Interface(), y.Interface()) {
 			continue
 		}
-		fields = append(fields, fmt.Sprintf("%s from %v to %v", b.Type().Field(i).Tag.Get("json"), x.Interface(), y.Interface()))
+		name := b.Type().Field(i).Tag.Get("json")
+		if name == hashField {
+			fields = append(fields, name)
+			continue
+		}
+		fields = append(fields, fmt.Sprintf("%s from %v to %v", name, x.Interface(), y.Interface()))
 	}
 	return fields
 }
--- a/control/services/planner/service.go
+++ b/control/services/planner/service.go
@@ -44,13 +44,11 @@
 	return &Service{proposer: proposer, machine: machine, clock: clock, loads: collector.New(), random: random}
 }
 
-// CreatePlan makes a plan. Refusals are part of the answer. The error is an
-// ErrNotLeader if this replica does not lead; after any other error the plan may
+// CreatePlan makes a plan. The caller must have passed ReadBarrier, so that the
+// load figures are chosen for the configuration in force. Refusals are part of
+// the answer. The error is an ErrNotLeader if this replica does not lead; after any other error the plan may
 // have been created, and a resend gets the answer.
 func (s *Service) CreatePlan(ctx context.Context, who Identity, req operator.CreatePlanRequest) (operator.Answer, error) {
-	if err := s.proposer.ReadBarrier(ctx); err != nil {
-		return operator.Answer{}, err
-	}
 	intent, err := req.Intent.Unwrap()
 	if err != nil {
 		return s.refuse(ctx, who, req.RequestID, operator.ReasonInvalid, err.Error())
@@ -74,12 +72,9 @@
 	return s.propose(ctx, command)
 }
 
-// ConfirmPlan carries out a plan if it still holds. Errors are those of
-// CreatePlan.
+// ConfirmPlan carries out a plan if it still holds. The caller must have passed
+// ReadBarrier. Errors are those of CreatePlan.
 func (s *Service) ConfirmPlan(ctx context.Context, who Identity, req operator.ConfirmPlanRequest) (operator.Answer, error) {
-	if err := s.proposer.ReadBarrier(ctx); err != nil {
-		return operator.Answer{}, err
-	}
 	request, err := s.newRequest(who, req.RequestID, req)
 	if err != nil {
 		return operator.Answer{}, err
