--- a/control/routers/operators/router.go
+++ b/control/routers/operators/router.go
@@ -41,6 +41,8 @@
 	logger          *slog.Logger
 	polls           chan struct{}
 	refusals        *refusalLimiter
+	// stopping is closed to end long polls.
+	stopping chan struct{}
 }
 
 // New returns a Router. Without certificates it trusts entries and gateways,
@@ -49,6 +51,7 @@
 	return &Router{
 		planner: service, settings: settings, hasCertificates: hasCertificates, counters: counters, logger: logger,
 		polls: make(chan struct{}, maxPolls), refusals: newRefusalLimiter(),
+		stopping: make(chan struct{}),
 	}
 }
 
@@ -195,6 +198,8 @@
 		}
 		select {
 		case <-changed:
+		case <-r.stopping:
+			return
 		case <-ctx.Done():
 			return
 		}
--- a/control/routers/operators/router_test.go
+++ b/control/routers/operators/router_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/fx/fxtest"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -84,19 +85,24 @@
 	node    *node
 	address netip.AddrPort
 	pool    *transporter.Pool
+
+	lifecycle *fxtest.Lifecycle
+	counters  *reporter.Counters
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	n := &node{machine: planner.NewMachine()}
 	service := planner.NewService(n, n.machine, timer.NewSystem(), rand.Reader)
-	router := operators.New(service, operators.Settings{BootstrapTokenSHA256: hashOf("first")}, false, reporter.NewCounters(), log.Discard())
-	server, err := transporter.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, router.Services()...)
+	settings := operators.Settings{OperatorAddress: netip.MustParseAddrPort("127.0.0.1:0"), BootstrapTokenSHA256: hashOf("first")}
+	f := &fixture{t: t, node: n, pool: transporter.NewPool(nil), lifecycle: fxtest.NewLifecycle(t), counters: reporter.NewCounters()}
+	router := operators.New(service, settings, false, f.counters, log.Discard())
+	server, err := operators.Start(f.lifecycle, router, nil, timer.NewSystem())
 	require.NoError(t, err)
-	go func() { _ = server.Serve() }()
-	t.Cleanup(server.Stop)
-	f := &fixture{t: t, node: n, address: netip.MustParseAddrPort(server.Addr()), pool: transporter.NewPool(nil)}
+	f.address = netip.MustParseAddrPort(server.Addr())
 	t.Cleanup(f.pool.Close)
+	f.lifecycle.RequireStart()
+	t.Cleanup(func() { require.NoError(t, f.lifecycle.Stop(context.Background())) })
 	return f
 }
 
@@ -259,6 +265,13 @@
 	require.NoError(t, err)
 	require.Equal(t, uint64(2), state.Version)
 	require.Equal(t, "drain manifest-desk/h1", state.LastChange.Summary)
+
+	go func() { answers <- fetch(2, operator.MaxWait) }()
+	require.Eventually(t, func() bool { return f.counters.Int("configuration_fetches").Value() == 5 }, 10*time.Second, time.Millisecond)
+	stopped := time.Now()
+	require.NoError(t, f.lifecycle.Stop(t.Context()))
+	require.Nil(t, (<-answers).Catalog)
+	require.Less(t, time.Since(stopped), operator.MaxWait/2, "a stop must not wait for long polls")
 }
 
 // Guards against reported load that does not reach the plan.
