--- a/control/services/planner/create.go
+++ b/control/services/planner/create.go
@@ -64,7 +64,7 @@
 	}
 	return record{
 		Plan: operator.Plan{
-			ID: id, Operator: author, Intent: intent.String(), BaseVersion: s.Catalog.Version,
+			ID: id, Operator: author, Intent: summariseIntent(intent, s.Catalog, target), BaseVersion: s.Catalog.Version,
 			Created: now, Expires: now.Add(PlanLifetime), Sections: described.sections, Facts: described.facts, State: operator.PlanOpen,
 		},
 		Intent: body, Declared: declared,
--- a/control/services/planner/describe_apply.go
+++ b/control/services/planner/describe_apply.go
@@ -9,14 +9,32 @@
 	"github.com/redwingledge/redwingledge/shared/models/operator"
 )
 
+// maxSummaryChanges bounds the changes that the audit trail and the refusal of
+// another operator name.
+const maxSummaryChanges = 10
+
 // maxListedChanges bounds the text of a plan; the rest is counted.
 const maxListedChanges = 100
 
-func (s situation) describeApply(d *description) flowText {
-	changes := summariseChanges(s.base, s.target)
-	if rest := len(changes) - maxListedChanges; rest > 0 {
-		changes = append(changes[:maxListedChanges:maxListedChanges], fmt.Sprintf("and %d more changes", rest))
+// summariseIntent describes an intent, and names the changes of a declaration.
+func summariseIntent(intent operator.Intent, base, target cataloger.Catalog) string {
+	if _, ok := intent.(operator.Apply); !ok {
+		return intent.String()
+	}
+	return intent.String() + ": " + strings.Join(atMost(summariseChanges(base, target), maxSummaryChanges), "; ")
+}
+
+// atMost returns the first changes and counts the others.
+func atMost(changes []string, limit int) []string {
+	rest := len(changes) - limit
+	if rest <= 0 {
+		return changes
 	}
+	return append(changes[:limit:limit], fmt.Sprintf("and %d more changes", rest))
+}
+
+func (s situation) describeApply(d *description) flowText {
+	changes := atMost(summariseChanges(s.base, s.target), maxListedChanges)
 	t := flowText{
 		changes:  "- " + strings.Join(changes, "\n- "),
 		stay:     "All established flows stay where they are.",
