Let the last attempt of rwctl finish

TestFollowsTheLeader failed once while the machine was busy: the timeout cut an attempt short, so that rwctl could not tell that the request had not been carried out. The test is unchanged; each attempt now gets at least 2 s. 11 repetitions under the race detector passed afterwards.

--- a/rwctl/services/requester/requester.go
+++ b/rwctl/services/requester/requester.go
@@ -23,8 +23,11 @@
 const (
 	// attemptTimeout is longer than the time in which control answers (10 s).
 	attemptTimeout = 12 * time.Second
-	firstPause     = 100 * time.Millisecond
-	longestPause   = 2 * time.Second
+	// leastAttempt is the time that the last attempt gets even if it ends after
+	// the timeout: an attempt cut short leaves it open whether it was carried out.
+	leastAttempt = 2 * time.Second
+	firstPause   = 100 * time.Millisecond
+	longestPause = 2 * time.Second
 	// maxHops bounds the redirects in a row without a pause.
 	maxHops = 3
 )
@@ -84,7 +87,8 @@
 
 // New returns a Requester that tries the addresses in turn. A nil config connects
 // without TLS; then the token is only sent to loopback addresses. Requests fail
-// with ErrNoAnswer after the timeout.
+// with ErrNoAnswer after the timeout, or up to 2 s later if an attempt is under
+// way.
 func New(addresses []netip.AddrPort, config *tls.Config, token string, timeout time.Duration) *Requester {
 	return &Requester{
 		pool: transporter.NewPool(config), addresses: addresses, current: addresses[0],
@@ -102,12 +106,12 @@
 // control may hold the request on purpose. Errors are ErrNoAnswer and
 // ErrNotAdmitted.
 func Call[Req any, Resp redirecting](ctx context.Context, r *Requester, method string, req Req, wait time.Duration) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout+wait)
+	limit, cancel := context.WithTimeout(ctx, r.timeout+wait)
 	defer cancel()
 	var zero Resp
 	hops, pause, mayHaveRun := 0, firstPause, false
 	for attempts := 1; ; attempts++ {
-		resp, err := attempt[Req, Resp](ctx, r, method, req, wait)
+		resp, err := attempt[Req, Resp](ctx, r, method, req, attemptTime(limit, wait))
 		if err == nil {
 			redirect := (*resp).GetRedirect()
 			if !redirect.NotLeader {
@@ -131,18 +135,27 @@
 		mayHaveRun = mayHaveRun || !errors.Is(err, errNoLeader)
 		hops = 0
 		r.current = r.next()
-		if !sleep(ctx, pause) {
+		if !sleep(limit, pause) {
 			return zero, ErrNoAnswer{Attempts: attempts, MayHaveRun: mayHaveRun, Last: err}
 		}
 		pause = min(2*pause, longestPause)
 	}
 }
 
-func attempt[Req, Resp any](ctx context.Context, r *Requester, method string, req Req, wait time.Duration) (*Resp, error) {
+// attemptTime returns the time that an attempt gets before the limit.
+func attemptTime(limit context.Context, wait time.Duration) time.Duration {
+	left := attemptTimeout + wait
+	if deadline, ok := limit.Deadline(); ok {
+		left = min(left, time.Until(deadline))
+	}
+	return max(left, leastAttempt)
+}
+
+func attempt[Req, Resp any](ctx context.Context, r *Requester, method string, req Req, duration time.Duration) (*Resp, error) {
 	if r.token != "" && !r.encrypted && !r.current.Addr().IsLoopback() {
 		return nil, ErrNotAdmitted{Message: fmt.Sprintf("the token is not sent to %s without TLS; set --tls-ca", r.current)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	if r.token != "" {
 		ctx = transporter.WithBearerToken(ctx, r.token)
