Serve announcements and the views of gateways in the entry

Cause: backend servers could not announce themselves. Change: the entry serves announcements and the long poll of gateways.

--- a/entry/cmd/entry/services.go
+++ b/entry/cmd/entry/services.go
@@ -13,12 +13,15 @@
 	"go.uber.org/fx"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/routers/announcements"
 	"github.com/redwingledge/redwingledge/entry/routers/decider"
 	"github.com/redwingledge/redwingledge/entry/routers/peers"
 	"github.com/redwingledge/redwingledge/entry/routers/receiver"
 	"github.com/redwingledge/redwingledge/entry/routers/sensor"
+	"github.com/redwingledge/redwingledge/entry/routers/watchers"
 	"github.com/redwingledge/redwingledge/entry/services/forwarder"
 	"github.com/redwingledge/redwingledge/entry/services/placer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -48,7 +51,7 @@
 func services() fx.Option {
 	return fx.Options(
 		fx.Provide(loadTLS),
-		fx.Invoke(startPackets, startPeers, startDecider, startViews, startSensor, startReadiness),
+		fx.Invoke(startPackets, startPeers, startDecider, startViews, startAnnouncements, startSensor, startReadiness),
 	)
 }
 
@@ -79,7 +82,10 @@
 		Seeds: s.Seeds, Control: s.Control, Lease: s.Lease, TLS: config, Seed: seed,
 		Timer: clock, Counters: counters, Logger: logger,
 	})
-	server, err := transporter.Listen(s.GRPCAddress, config, service.GRPCService())
+	views := watchers.NewService(watchers.Options{
+		View: service.View, Process: uint64(clock.Now().UnixNano()), WithCertificates: config != nil, Counters: counters,
+	})
+	server, err := transporter.Listen(s.GRPCAddress, config, service.GRPCService(), views)
 	if err != nil {
 		return err
 	}
@@ -161,6 +167,31 @@
 	return nil
 }
 
+// startAnnouncements serves backend servers.
+func startAnnouncements(lc fx.Lifecycle, s settings, config *tls.Config, registry *registrar.Registry, counters *reporter.Counters, logger *slog.Logger) error {
+	peering, err := registrar.Lookup[*peers.Service](registry, servicePeers)
+	if err != nil {
+		return err
+	}
+	handler := announcements.NewHandler(peering, func() *cataloger.Catalog { return peering.View().Catalog }, counters)
+	server, err := announcements.Listen(s.AnnounceAddress, config, handler)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(); err != nil {
+					logger.Error("announcement server failed", "error", err)
+				}
+			}()
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+	return nil
+}
+
 // startSensor reports load to control.
 func startSensor(lc fx.Lifecycle, s settings, config *tls.Config, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters) error {
 	packets, err := registrar.Lookup[*decider.Decider](registry, serviceDecider)
