--- a/entry/models/messenger/placement.go
+++ b/entry/models/messenger/placement.go
@@ -27,6 +27,10 @@
 	ID     uint32 `cbor:"1,keyasint"`
 	// Flows are fingerprints of 8 bytes each.
 	Flows []byte `cbor:"2,keyasint"`
+	// Service is the hash of the service's name if the receiver, as the owner of the
+	// flows, must place those that it does not have, because they are new. Otherwise
+	// it is 0.
+	Service uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind returns KindFlowQuery.
--- a/entry/models/tracker/cache.go
+++ b/entry/models/tracker/cache.go
@@ -36,8 +36,8 @@
 	Replied uint32
 	// Since is the time of the first caller packet without a response.
 	Since uint32
-	// Service is the index of the service.
-	Service uint16
+	// Packets counts the packets of the caller, at most 65,535.
+	Packets uint16
 	Flags   uint8
 	// Unanswered counts the caller packets since the last response, at most 255.
 	Unanswered uint8
--- a/entry/services/placer/asker.go
+++ b/entry/services/placer/asker.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/models/tracker"
+	"github.com/redwingledge/redwingledge/entry/services/tabler"
 )
 
 // askScope tells which peers are asked about an unknown flow.
@@ -18,6 +21,9 @@
 	askNext askScope = iota
 	// askAll asks all entries of the domain.
 	askAll
+	// askOwner asks the owner to place a new flow. An entry that is not the owner
+	// gets relayed packets from one with another view of the members.
+	askOwner
 )
 
 // flowAsk is an unknown flow that waits for answers, with its packets.
@@ -38,6 +44,11 @@
 	deadline time.Time
 	waiting  []uint16
 	flows    []uint64
+	// service is that of new flows which the owner must place, or 0.
+	service uint64
+	scope   askScope
+	// isRepeated is set when the query was sent again, in case that it was lost.
+	isRepeated bool
 }
 
 type asker struct {
@@ -119,31 +130,43 @@
 	}
 	a.unsent = a.unsent[:0]
 	for _, g := range order {
-		to := m.services[g.service].members
-		if g.scope == askNext {
+		svc := m.services[g.service]
+		to, placing := svc.members, uint64(0)
+		switch g.scope {
+		case askAll:
+		case askOwner:
+			to, placing = []uint16{g.next}, svc.hash
+		case askNext:
 			to = slices.DeleteFunc(slices.Clone(to), func(i uint16) bool {
 				return i != g.next && (m.entries[i].isReady || m.entries[i].standing == 0)
 			})
 		}
 		for flows := range slices.Chunk(groups[g], flowsPerQuery) {
-			m.sendQuery(to, flows)
+			m.sendQuery(g.scope, to, flows, placing)
 		}
 	}
 }
 
-func (m *Machine) sendQuery(to []uint16, flows []uint64) {
+func (m *Machine) sendQuery(scope askScope, to []uint16, flows []uint64, placing uint64) {
 	a := &m.asks
 	a.nextQuery++
 	a.queries[a.nextQuery] = &query{
 		deadline: m.now.Add(m.config.QueryLimit), waiting: slices.Clone(to), flows: flows,
+		service: placing, scope: scope,
 	}
-	packed := make([]byte, 0, 8*len(flows))
-	for _, flow := range flows {
+	m.transmitQuery(a.nextQuery)
+}
+
+// transmitQuery sends a query to the peers that have not answered it.
+func (m *Machine) transmitQuery(id uint32) {
+	q := m.asks.queries[id]
+	packed := make([]byte, 0, 8*len(q.flows))
+	for _, flow := range q.flows {
 		packed = binary.BigEndian.AppendUint64(packed, flow)
 	}
-	for _, i := range to {
+	for _, i := range q.waiting {
 		m.placementTokens.spend(messageOverhead + len(packed))
-		m.send(i, messenger.FlowQuery{ID: a.nextQuery, Flows: packed})
+		m.send(i, messenger.FlowQuery{ID: id, Flows: packed, Service: q.service})
 	}
 }
 
@@ -151,7 +174,11 @@
 func (m *Machine) answerQuery(from uint16, msg messenger.FlowQuery) {
 	var p packer
 	for flows := msg.Flows; len(flows) >= 8; flows = flows[8:] {
-		line := m.cache.Lookup(binary.BigEndian.Uint64(flows), m.sec)
+		flow := binary.BigEndian.Uint64(flows)
+		line := m.cache.Lookup(flow, m.sec)
+		if line == nil && msg.Service != 0 {
+			line = m.placeForPeer(msg.Service, flow)
+		}
 		if line != nil && m.backends[line.Target].isPresent {
 			m.pack(&p, toPlacement(line))
 		}
@@ -160,6 +187,24 @@
 	m.send(from, messenger.FlowAnswer{ID: msg.ID, Targets: p.targets, Lines: p.lines})
 }
 
+// placeForPeer places a new TCP flow as its owner, or returns nil if it cannot.
+func (m *Machine) placeForPeer(serviceHash, flow uint64) *tracker.Line {
+	svc := m.findService(serviceHash)
+	if svc == nil || m.mode != modeReady || m.asks.flows[flow] != nil {
+		return nil
+	}
+	packet := Packet{Flow: flow, Service: svc.index, Flags: FlagSYN}
+	target := m.target(svc, tabler.Bucket(flow))
+	if e, ok := m.findException(svc, packet); ok {
+		target = e.target
+	}
+	if !m.isUsable(target, svc.index) {
+		return nil
+	}
+	m.place(svc, packet, target, true)
+	return m.cache.Lookup(flow, m.sec)
+}
+
 func (m *Machine) receiveAnswer(from uint16, msg messenger.FlowAnswer) {
 	q, ok := m.asks.queries[msg.ID]
 	if !ok || !slices.Contains(q.waiting, from) {
@@ -206,6 +251,9 @@
 			decision = forward(line.Target)
 		case target != 0 && m.isUsable(target, svc.index):
 			decision = m.place(svc, held.packet, target, true)
+		case m.mode == modeStarting:
+			// The state is stale; the caller sends again.
+			decision = drop(ReasonNoView)
 		default:
 			decision = m.placeUnknown(svc, held.packet)
 		}
@@ -216,16 +264,33 @@
 	a.spare = append(a.spare, f)
 }
 
-// expireAsks decides without the answers that have not come in time.
-func (m *Machine) expireAsks() {
-	var due []uint32
-	for id, q := range m.asks.queries {
-		if !q.deadline.After(m.now) {
-			due = append(due, id)
+// askOthers asks all peers about the flows of a query that the one peer asked has not
+// answered. It may be frozen or dead.
+func (m *Machine) askOthers(id uint32) {
+	q := m.asks.queries[id]
+	delete(m.asks.queries, id)
+	for _, flow := range q.flows {
+		if f := m.asks.flows[flow]; f != nil {
+			f.scope = askAll
+			m.asks.unsent = append(m.asks.unsent, flow)
 		}
 	}
-	slices.Sort(due)
-	for _, id := range due {
-		m.finishQuery(id)
+}
+
+// expireAsks repeats queries after half the limit, and decides without the answers
+// that have not come in time.
+func (m *Machine) expireAsks() {
+	ids := slices.Sorted(maps.Keys(m.asks.queries))
+	for _, id := range ids {
+		q := m.asks.queries[id]
+		switch {
+		case !q.deadline.After(m.now) && q.scope != askAll:
+			m.askOthers(id)
+		case !q.deadline.After(m.now):
+			m.finishQuery(id)
+		case !q.isRepeated && q.deadline.Sub(m.now) <= m.config.QueryLimit/2:
+			q.isRepeated = true
+			m.transmitQuery(id)
+		}
 	}
 }
--- a/entry/services/placer/decide.go
+++ b/entry/services/placer/decide.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/tracker"
@@ -118,6 +119,9 @@
 // touch updates a line for a packet of the caller.
 func (m *Machine) touch(line *tracker.Line, packet Packet) {
 	line.Seen = m.sec
+	if line.Packets < math.MaxUint16 {
+		line.Packets++
+	}
 	line.Flags &^= tracker.FlagCopied
 	switch {
 	case packet.isSYN():
@@ -140,7 +144,7 @@
 // remember caches a flow at its target.
 func (m *Machine) remember(svc *service, packet Packet, target uint32) *tracker.Line {
 	line := tracker.Line{
-		Fingerprint: packet.Flow, Target: target, Service: svc.index,
+		Fingerprint: packet.Flow, Target: target, Packets: 1,
 		Seen: m.sec, Since: m.sec, Unanswered: 1,
 	}
 	switch {
@@ -151,6 +155,9 @@
 	case packet.isClosing():
 		line.Flags = tracker.FlagClosed
 	}
+	if m.mode == modeLeaving {
+		m.handOverLine(svc, line)
+	}
 	return m.cache.Insert(line)
 }
 
@@ -163,6 +170,9 @@
 	}
 	if m.mode == modeStarting {
 		// Another entry takes this one for an owner. Its state may be stale.
+		if packet.isSYN() {
+			return m.ask(svc, packet, askOwner)
+		}
 		return m.ask(svc, packet, askAll)
 	}
 	if b.state == settled || (b.state == informed && !packet.isSYN()) {
@@ -197,9 +207,11 @@
 		(!packet.isSYN() && m.countFormers(svc, b) > 1)
 	isOwner := m.owner(svc, packet.Flow) == self
 	switch {
-	case svc.ownerChanges > 1 || needsAll:
+	case !isOwner && packet.isSYN():
+		return m.ask(svc, packet, askOwner)
+	case svc.ownerChanges >= askAllChanges || needsAll:
 		return m.ask(svc, packet, askAll)
-	case svc.ownerChanges == 1 || !isOwner:
+	case svc.ownerChanges > 0 || !isOwner:
 		return m.ask(svc, packet, askNext)
 	default:
 		return m.placeUnknown(svc, packet)
@@ -297,7 +309,7 @@
 		return
 	}
 	line := tracker.Line{
-		Fingerprint: reply.Flow, Target: reply.Backend, Service: b.service,
+		Fingerprint: reply.Flow, Target: reply.Backend,
 		Seen: m.sec, Replied: m.sec, Flags: tracker.FlagCopied,
 	}
 	if reply.Protocol == ProtocolUDP {
--- /dev/null
+++ b/entry/services/placer/leave.go
@@ -0,0 +1,112 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/models/tracker"
+)
+
+// leaver is the progress of a planned stop.
+type leaver struct {
+	until time.Time
+	// rare are flows that other entries may not have seen, the likeliest first.
+	rare []tracker.Line
+}
+
+const (
+	// leaveLimit bounds the hand-over of a leaving entry.
+	leaveLimit = 30 * time.Second
+	// rarePackets is the number of packets seen here from which on other entries have
+	// seen the flow too: with 8 entries, 6 packets in a row reach the same one with a
+	// probability of 3e-5.
+	rarePackets = 6
+)
+
+// leave hands the flows that only this entry may know over to the others.
+func (m *Machine) leave() {
+	if m.mode == modeLeaving {
+		return
+	}
+	wasReady := m.mode == modeReady
+	m.mode = modeLeaving
+	m.announce(false)
+	m.sendAnnouncement()
+	m.changeAllOwners()
+	m.leaving.until = m.now.Add(leaveLimit)
+	for i := range m.entries {
+		m.entries[i].queuedAt = time.Time{}
+	}
+	if !wasReady {
+		return
+	}
+	for _, svc := range m.services {
+		listed := make(map[uint64]digestLine)
+		m.eachUncommon(svc, func(line digestLine, _ exception) { listed[line.key] = line })
+		m.eachDeviating(svc, func(line digestLine) { listed[line.key] = line })
+		if len(listed) > 0 {
+			m.publish(svc, svc.members, messenger.PhaseFacts, toLines(listed))
+		}
+	}
+	m.listRare()
+}
+
+// listRare lists the flows of which this entry has seen so few packets that no other
+// entry may have seen one. If a table moves their buckets after this entry has left,
+// no digest would name them.
+func (m *Machine) listRare() {
+	m.cache.Each(m.sec, func(line *tracker.Line) {
+		if line.Packets < rarePackets && !line.Has(tracker.FlagCopied|tracker.FlagClosed) && m.backends[line.Target].isPresent {
+			m.leaving.rare = append(m.leaving.rare, *line)
+		}
+	})
+	slices.SortFunc(m.leaving.rare, func(a, b tracker.Line) int {
+		return cmp.Or(cmp.Compare(a.Packets, b.Packets), cmp.Compare(a.Seen, b.Seen), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+}
+
+// handOver queues rare flows for their owners, as far as the budget allows. A
+// leaving entry has no digests to send, so that it may spend both budgets.
+func (m *Machine) handOver() {
+	m.placementTokens.rate = float64(m.config.PlacementBudget + m.config.DigestBudget)
+	for len(m.leaving.rare) > 0 && m.placementTokens.has(m.now) {
+		line := m.leaving.rare[0]
+		if !m.handOverLine(m.services[m.backends[line.Target].service], line) {
+			return
+		}
+		m.leaving.rare = m.leaving.rare[1:]
+	}
+}
+
+// handOverLine queues a flow for its owner. It returns false if the queue is full.
+func (m *Machine) handOverLine(svc *service, line tracker.Line) bool {
+	owner := m.owner(svc, line.Fingerprint)
+	if owner == none {
+		return true
+	}
+	if len(m.entries[owner].copies) >= maxQueued {
+		return false
+	}
+	m.queue(&m.entries[owner].copies, owner, toPlacement(&line))
+	return true
+}
+
+func (m *Machine) advanceLeave() {
+	if m.mode != modeLeaving || m.leaving.until.IsZero() {
+		return
+	}
+	m.handOver()
+	isDone := len(m.leaving.rare) == 0
+	for i := range m.entries {
+		e := &m.entries[i]
+		if e.isLive && (len(e.outbox.streams) > 0 || len(e.copies) > 0) {
+			isDone = false
+		}
+	}
+	if isDone || !m.leaving.until.After(m.now) {
+		m.leaving.until = time.Time{}
+		m.emit(LeaveCompleted{})
+	}
+}
--- a/entry/services/placer/machine.go
+++ b/entry/services/placer/machine.go
@@ -17,7 +17,8 @@
 	// Flows bounds the flow cache.
 	Flows int
 	// Hold is the time from learning of a change until it becomes active. It must
-	// be longer than gossip takes to reach all entries.
+	// be twice as long as gossip takes to reach all entries: then no entry activates
+	// a change before all have heard of it and of those that overtook it.
 	Hold time.Duration
 	// SettleDelay is the time from activation until digests are published.
 	SettleDelay time.Duration
@@ -142,7 +143,7 @@
 	// which it is sent to all.
 	standing   uint64
 	announceAt []time.Time
-	leaveUntil time.Time
+	leaving    leaver
 }
 
 // NewMachine returns a Machine that starts at the given time.
--- a/entry/services/placer/placement.go
+++ b/entry/services/placer/placement.go
@@ -163,10 +163,7 @@
 }
 
 func (m *Machine) toLine(p placement) tracker.Line {
-	line := tracker.Line{
-		Fingerprint: p.flow, Target: p.target, Service: m.backends[p.target].service,
-		Seen: m.sec, Flags: tracker.FlagCopied,
-	}
+	line := tracker.Line{Fingerprint: p.flow, Target: p.target, Seen: m.sec, Flags: tracker.FlagCopied}
 	if p.isUDP {
 		line.Flags |= tracker.FlagUDP
 	}
--- a/entry/services/placer/round.go
+++ b/entry/services/placer/round.go
@@ -70,7 +70,7 @@
 }
 
 func (m *Machine) beginRound(svc *service) {
-	if m.mode != modeReady || len(svc.pending) > 0 {
+	if m.mode != modeReady || svc.isPending() {
 		return
 	}
 	m.cancelRound(svc)
@@ -103,7 +103,7 @@
 	}
 	r := &svc.round
 	if !r.isActive {
-		if part.Version != m.version(svc) || len(svc.pending) > 0 {
+		if part.Version != m.version(svc) || svc.isPending() {
 			return false
 		}
 		if part.Version != r.finished {
@@ -197,7 +197,7 @@
 func (m *Machine) eachDeviating(svc *service, f func(digestLine)) {
 	m.cache.Each(m.sec, func(line *tracker.Line) {
 		bucket := tabler.Bucket(line.Fingerprint)
-		if line.Service != svc.index || svc.buckets[bucket].state == settled ||
+		if m.backends[line.Target].service != svc.index || svc.buckets[bucket].state == settled ||
 			line.Target == svc.active[bucket] || !m.backends[line.Target].isPresent {
 			return
 		}
--- a/entry/services/placer/start.go
+++ b/entry/services/placer/start.go
@@ -9,7 +9,9 @@
 
 // starter is the progress of an entry towards owning flows.
 type starter struct {
-	since       time.Time
+	since time.Time
+	// changedAt is the time of the last change of the view.
+	changedAt   time.Time
 	hasMembers  bool
 	isRequested bool
 }
@@ -19,14 +21,12 @@
 	viewLimit = 3 * time.Second
 	// askAgain is the period at which an unanswered request is repeated.
 	askAgain = 2 * time.Second
-	// leaveLimit bounds the hand-over of a leaving entry.
-	leaveLimit = 10 * time.Second
 )
 
 func (m *Machine) beginStart() {
 	m.mode = modeStarting
 	m.hasView = false
-	m.start.since, m.start.isRequested = m.now, false
+	m.start.since, m.start.changedAt, m.start.isRequested = m.now, m.now, false
 	for i := range m.entries {
 		m.entries[i].transferred = nil
 	}
@@ -60,7 +60,10 @@
 	}
 	if !m.start.isRequested {
 		isCurrent := m.hasView || m.now.Sub(m.start.since) >= viewLimit
-		if isCurrent && m.start.hasMembers && m.catalog.Services != nil {
+		// All entries have heard of a change after the hold time, so that their
+		// transfers name the buckets that it contests.
+		isSteady := m.now.Sub(m.start.changedAt) >= m.config.Hold
+		if isCurrent && isSteady && m.start.hasMembers && m.catalog.Services != nil {
 			m.beginTransfer()
 		}
 		return
@@ -79,8 +82,8 @@
 	m.start.isRequested = true
 	for _, svc := range m.services {
 		m.changeView(svc)
-		for len(svc.pending) > 0 {
-			m.activateFirst(svc)
+		if svc.isPending() {
+			m.activate(svc)
 		}
 		svc.buckets = [len(svc.buckets)]bucket{}
 		svc.ownerChanges = 0
@@ -111,7 +114,7 @@
 	if ready == 0 {
 		return answered == len(svc.members)
 	}
-	return done >= min(ready, (len(svc.members)+1)/2+1) && len(svc.pending) == 0
+	return done >= min(ready, (len(svc.members)+1)/2+1) && !svc.isPending()
 }
 
 func (m *Machine) becomeReady() {
@@ -119,6 +122,11 @@
 	m.emit(StateChanged{Event: EventReady})
 	m.announce(true)
 	m.changeAllOwners()
+	for _, svc := range m.services {
+		// Buckets that are contested here may be settled elsewhere by now, so that
+		// other entries than the owners have placed flows.
+		svc.ownerChanges = max(svc.ownerChanges, askAllChanges)
+	}
 }
 
 func (m *Machine) sendAnnouncement() {
@@ -231,7 +239,7 @@
 		}
 		index := uint16(line.key)
 		b := &svc.buckets[index]
-		b.state = contested
+		b.contest()
 		if line.target != svc.active[index] {
 			b.addFormer(line.target)
 		}
@@ -254,47 +262,3 @@
 		delete(svc.round.received, i)
 	}
 }
-
-// leave hands the flows that only this entry may know over to the others.
-func (m *Machine) leave() {
-	if m.mode == modeLeaving {
-		return
-	}
-	wasReady := m.mode == modeReady
-	m.mode = modeLeaving
-	m.announce(false)
-	m.sendAnnouncement()
-	m.changeAllOwners()
-	m.leaveUntil = m.now.Add(leaveLimit)
-	for i := range m.entries {
-		m.entries[i].queuedAt = time.Time{}
-	}
-	if !wasReady {
-		return
-	}
-	for _, svc := range m.services {
-		listed := make(map[uint64]digestLine)
-		m.eachUncommon(svc, func(line digestLine, _ exception) { listed[line.key] = line })
-		m.eachDeviating(svc, func(line digestLine) { listed[line.key] = line })
-		if len(listed) > 0 {
-			m.publish(svc, svc.members, messenger.PhaseFacts, toLines(listed))
-		}
-	}
-}
-
-func (m *Machine) advanceLeave() {
-	if m.mode != modeLeaving || m.leaveUntil.IsZero() {
-		return
-	}
-	isDone := true
-	for i := range m.entries {
-		e := &m.entries[i]
-		if e.isLive && (len(e.outbox.streams) > 0 || len(e.copies) > 0) {
-			isDone = false
-		}
-	}
-	if isDone || !m.leaveUntil.After(m.now) {
-		m.leaveUntil = time.Time{}
-		m.emit(LeaveCompleted{})
-	}
-}
--- a/entry/services/placer/step.go
+++ b/entry/services/placer/step.go
@@ -167,7 +167,7 @@
 	m.cache.Sweep(m.cache.Size()/sweepTicks+1, m.sec)
 	m.advanceStart()
 	for _, svc := range m.services {
-		m.activate(svc)
+		m.activateIfDue(svc)
 		m.advanceRound(svc)
 	}
 	m.expireExceptions()
--- a/entry/services/placer/view.go
+++ b/entry/services/placer/view.go
@@ -34,6 +34,15 @@
 	formers [maxFormers]uint32
 }
 
+// contest makes the owner decide about unknown flows. The former targets count only
+// while the bucket has been contested without a break: after that, digests name all
+// flows on them.
+func (b *bucket) contest() {
+	if b.state != contested {
+		*b = bucket{state: contested}
+	}
+}
+
 func (b *bucket) addFormer(target uint32) {
 	if target == 0 || slices.Contains(b.formers[:], target) {
 		return
@@ -43,11 +52,9 @@
 	b.formers[0] = target
 }
 
-type pendingTable struct {
-	table *tabler.Table
-	view  uint64
-	at    time.Time
-}
+// askAllChanges is the number of owner changes from which on an owner asks all peers
+// about unknown flows. After one change it asks the previous owner.
+const askAllChanges = 2
 
 type service struct {
 	name     string
@@ -63,10 +70,12 @@
 	// active is the table in force and latest the newest one, which may be pending.
 	active, latest         *tabler.Table
 	activeView, latestView uint64
-	pending                []pendingTable
-	buckets                [tabler.Buckets]bucket
-	exceptions             map[uint64]exception
-	round                  round
+	// activateAt is when latest becomes active, and pendingSince when the first
+	// change came that is not active. Both are zero if none is pending.
+	activateAt, pendingSince time.Time
+	buckets                  [tabler.Buckets]bucket
+	exceptions               map[uint64]exception
+	round                    round
 	// ownerChanges counts the changes of owners since the buckets were settled.
 	ownerChanges int
 }
@@ -184,10 +193,16 @@
 	return weighed, view
 }
 
+// maxHolds bounds, in hold times, how long further changes put off activation.
+const maxHolds = 4
+
 // changeView computes the newest table of a service. The buckets that it moves are
-// contested from now on, and it becomes active after the hold time.
+// contested from now on, and it becomes active after the hold time. A further change
+// restarts the hold time: entries may hear of both at once or in another order, so
+// that no entry may place flows by the table in between.
 func (m *Machine) changeView(svc *service) {
 	if m.mode == modeStarting && !m.start.isRequested {
+		m.start.changedAt = m.now
 		// beginTransfer computes the table once, when the view is current.
 		return
 	}
@@ -195,16 +210,25 @@
 	if view == svc.latestView {
 		return
 	}
+	if svc.countContested() == 0 {
+		svc.ownerChanges = 0
+	}
 	table := tabler.Build(weighed)
 	moved := 0
 	for i := range table {
 		if table[i] != svc.latest[i] {
-			svc.buckets[i].state = contested
+			svc.buckets[i].contest()
 			moved++
 		}
 	}
 	svc.latest, svc.latestView = table, view
-	svc.pending = append(svc.pending, pendingTable{table: table, view: view, at: m.now.Add(m.config.Hold)})
+	if svc.pendingSince.IsZero() {
+		svc.pendingSince = m.now
+	}
+	svc.activateAt = m.now.Add(m.config.Hold)
+	if latest := svc.pendingSince.Add(maxHolds * m.config.Hold); latest.Before(svc.activateAt) {
+		svc.activateAt = latest
+	}
 	m.cancelRound(svc)
 	if moved > 0 {
 		m.emit(StateChanged{Event: EventContested, Service: svc.name, Buckets: moved})
@@ -221,39 +245,39 @@
 // owner that does not know them would give a retransmitted SYN a new target.
 func (m *Machine) reportRecentSYNs(svc *service) {
 	m.cache.Each(m.sec, func(line *tracker.Line) {
-		if line.Service == svc.index && line.Has(tracker.FlagOnlySYN) && !line.Has(tracker.FlagCopied) && m.sec-line.Seen <= recentSYN &&
+		if m.backends[line.Target].service == svc.index && line.Has(tracker.FlagOnlySYN) && !line.Has(tracker.FlagCopied) && m.sec-line.Seen <= recentSYN &&
 			svc.buckets[tabler.Bucket(line.Fingerprint)].state == contested {
 			if owner := m.owner(svc, line.Fingerprint); owner != self && owner != none {
 				m.queue(&m.entries[owner].copies, owner, toPlacement(line))
+				// The owner must know before its table becomes active.
+				m.entries[owner].queuedAt = time.Time{}
 			}
 		}
 	})
 }
 
-// activate puts the pending tables in force whose hold time is over.
-func (m *Machine) activate(svc *service) {
-	activated := false
-	for len(svc.pending) > 0 && !svc.pending[0].at.After(m.now) {
-		m.activateFirst(svc)
-		activated = true
-	}
-	if activated && len(svc.pending) == 0 {
+// activateIfDue puts the newest table in force when its hold time is over.
+func (m *Machine) activateIfDue(svc *service) {
+	if svc.isPending() && !svc.activateAt.After(m.now) {
+		m.activate(svc)
 		m.scheduleRound(svc)
 	}
 }
 
-func (m *Machine) activateFirst(svc *service) {
-	next := svc.pending[0]
-	svc.pending = svc.pending[1:]
+func (svc *service) isPending() bool { return !svc.pendingSince.IsZero() }
+
+func (m *Machine) activate(svc *service) {
+	svc.activateAt, svc.pendingSince = time.Time{}, time.Time{}
 	moved := 0
-	for i := range next.table {
-		if next.table[i] != svc.active[i] {
-			svc.buckets[i].state = contested
+	for i := range svc.latest {
+		if svc.latest[i] != svc.active[i] {
+			svc.buckets[i].contest()
 			svc.buckets[i].addFormer(svc.active[i])
 			moved++
 		}
 	}
-	svc.active, svc.activeView = next.table, next.view
+	svc.active, svc.activeView = svc.latest, svc.latestView
+	svc.round.receivedVersion = 0
 	m.emit(StateChanged{Event: EventActivated, Service: svc.name, Buckets: moved})
 }
 
