Join the control part of an entry into one state machine

The goroutine in routers/peers only did what the machines asked of one another. That is now entry/services/steward, so that failures of the whole control part can be tested in virtual time.

--- a/entry/models/viewer/builder.go
+++ b/entry/models/viewer/builder.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
@@ -60,6 +62,16 @@
 // SetCatalog sets the configuration.
 func (b *Builder) SetCatalog(c *cataloger.Catalog) { b.next.Catalog, b.dirty = c, true }
 
+// SetSummary sets what was heard of a data centre of another region.
+func (b *Builder) SetSummary(summary messenger.Summary, now time.Time) {
+	summaries := maps.Clone(b.next.Summaries)
+	if summaries == nil {
+		summaries = make(map[string]Summary)
+	}
+	summaries[summary.DataCentre] = Summary{Summary: summary, HeardAt: now}
+	b.next.Summaries, b.dirty = summaries, true
+}
+
 // SetJoined records that the state of a first peer was received.
 func (b *Builder) SetJoined() { b.next.Joined, b.dirty = true, true }
 
--- a/entry/models/viewer/view.go
+++ b/entry/models/viewer/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
@@ -37,10 +38,18 @@
 	ReadyRevision uint64
 	// Thaws counts how often the process did not run for over a second.
 	Thaws uint64
+	// Summaries are the latest of the data centres of other regions, by name.
+	Summaries map[string]Summary
 
 	changed chan struct{}
 }
 
+// Summary is what another region has told of a data centre.
+type Summary struct {
+	messenger.Summary
+	HeardAt time.Time
+}
+
 // Record is a record and the revision of the view in which it last changed.
 type Record struct {
 	announcer.Record
--- a/entry/routers/peers/caller.go
+++ b/entry/routers/peers/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
 	"github.com/redwingledge/redwingledge/entry/services/configurer"
+	"github.com/redwingledge/redwingledge/entry/services/steward"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -43,36 +44,36 @@
 
 // startPoll asks control in a goroutine of its own. The configurer has at most
 // one poll at a time.
-func (s *Service) startPoll(out configurer.Poll) {
+func (s *Service) startPoll(out steward.Poll) {
 	s.work.Go(func() {
 		req := cataloger.FetchRequest{Known: out.Known, Wait: configurer.PollWait}
 		answer, err := call[cataloger.FetchRequest, cataloger.FetchAnswer](s, out.Address, cataloger.FetchMethod, &req, configurer.PollTimeout)
-		polled := configurer.Polled{Failed: err != nil}
+		polled := steward.Polled{Failed: err != nil}
 		if err == nil {
 			polled.Catalog = answer.Catalog
 		}
-		s.complete(polledJob{polled: polled})
+		s.complete(job{input: polled})
 	})
 }
 
 // startFetch asks a peer in a goroutine of its own. The configurer has at most
 // one fetch at a time.
-func (s *Service) startFetch(out configurer.Fetch) {
+func (s *Service) startFetch(out steward.Fetch) {
 	s.work.Go(func() {
 		req := messenger.FetchRequest{Known: out.Known}
 		answer, err := call[messenger.FetchRequest, messenger.FetchAnswer](s, out.Address, messenger.FetchMethod, &req, configurer.FetchTimeout)
-		fetched := configurer.Fetched{Address: out.Address, Failed: err != nil}
+		fetched := steward.Fetched{Address: out.Address, Failed: err != nil}
 		if err == nil {
 			var ok bool
 			fetched.Catalog, ok = s.history.Resolve(answer)
 			fetched.Failed = !ok
 		}
-		s.complete(fetchedJob{fetched: fetched})
+		s.complete(job{input: fetched})
 	})
 }
 
-// complete hands the result of a call to the loop. The configurer waits for it,
-// so that it is kept for the next tick if the ring is full.
+// complete hands an input that must not be lost to the loop. It is kept for the
+// next tick if the ring is full.
 func (s *Service) complete(done job) {
 	if s.jobs.TryPush(done) {
 		return
@@ -82,7 +83,7 @@
 	s.late = append(s.late, done)
 }
 
-// takeLate returns the results that did not fit into the ring.
+// takeLate returns the inputs that did not fit into the ring.
 func (s *Service) takeLate() []job {
 	s.lateMu.Lock()
 	defer s.lateMu.Unlock()
--- a/entry/routers/peers/report.go
+++ b/entry/routers/peers/report.go
@@ -27,15 +27,16 @@
 			counters.Int(prefix + snakeCase(v.Type().Field(i).Name)).Set(int64(v.Field(i).Uint()))
 		}
 	}
-	publish("membership_", l.gossiper.Counts())
-	publish("announcements_", l.leaser.Counts())
-	publish("configuration_", l.configurer.Counts())
+	membership, leases, configuration := l.machine.Counts()
+	publish("membership_", membership)
+	publish("leases_", leases)
+	publish("configuration_", configuration)
 	view := l.service.View()
 	counters.Int("members_live").Set(int64(len(view.Members)))
 	counters.Int("records").Set(int64(len(view.Records)))
-	counters.Int("configuration_version").Set(int64(l.configurer.Version()))
+	counters.Int("configuration_version").Set(int64(l.machine.Version()))
 	age := int64(-1)
-	if known, ok := l.gossiper.VersionAge(); ok {
+	if known, ok := l.machine.VersionAge(); ok {
 		age = int64(known.Seconds())
 	}
 	counters.Int("configuration_age_seconds").Set(age)
--- a/entry/routers/peers/service.go
+++ b/entry/routers/peers/service.go
@@ -23,6 +23,7 @@
 	"github.com/redwingledge/redwingledge/entry/services/configurer"
 	"github.com/redwingledge/redwingledge/entry/services/gossiper"
 	"github.com/redwingledge/redwingledge/entry/services/leaser"
+	"github.com/redwingledge/redwingledge/entry/services/steward"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/buffer"
@@ -75,7 +76,7 @@
 	options Options
 	view    *viewer.Builder
 	jobs    *buffer.Ring[job]
-	outbox  *buffer.Ring[gossiper.Send]
+	outbox  *buffer.Ring[steward.Send]
 	pool    *transporter.Pool
 	history *configurer.History
 
@@ -108,7 +109,7 @@
 		options: options,
 		view:    viewer.NewBuilder(),
 		jobs:    buffer.NewRing[job](ringCapacity),
-		outbox:  buffer.NewRing[gossiper.Send](ringCapacity),
+		outbox:  buffer.NewRing[steward.Send](ringCapacity),
 		pool:    transporter.NewPool(options.TLS),
 		history: configurer.NewHistory(),
 	}
@@ -137,7 +138,7 @@
 		return false
 	}
 	self, _ := s.View().GetMember(s.options.Name)
-	return s.outbox.TryPush(gossiper.Send{To: member.Address, Envelope: messenger.Envelope{
+	return s.outbox.TryPush(steward.Send{To: member.Address, Envelope: messenger.Envelope{
 		From: s.options.Name, Incarnation: self.Incarnation, Messages: messages,
 	}})
 }
@@ -145,7 +146,7 @@
 // Observe reports what the packet path has seen of a backend server since the
 // last report. It returns false if the report was dropped.
 func (s *Service) Observe(id announcer.ID, responses, failures uint32) bool {
-	return s.jobs.TryPush(observeJob{observed: leaser.Observed{ID: id, Responses: responses, Failures: failures}})
+	return s.jobs.TryPush(job{input: steward.Observed{ID: id, Responses: responses, Failures: failures}})
 }
 
 // ErrBusy reports an announcement that could not be taken in.
@@ -156,18 +157,18 @@
 
 // Announce applies a checked announcement. It returns ErrBusy if that is not
 // possible now.
-func (s *Service) Announce(ctx context.Context, a announcer.Announcement) (leaser.Answered, error) {
-	reply := make(chan leaser.Answered, 1)
-	if !s.jobs.TryPush(announceJob{announcement: a, reply: reply}) {
-		return leaser.Answered{}, ErrBusy{}
+func (s *Service) Announce(ctx context.Context, a announcer.Announcement) (steward.Answered, error) {
+	reply := make(chan steward.Answered, 1)
+	if !s.jobs.TryPush(job{input: steward.Announced{Announcement: a}, reply: reply}) {
+		return steward.Answered{}, ErrBusy{}
 	}
 	select {
 	case answer := <-reply:
 		return answer, nil
 	case <-ctx.Done():
-		return leaser.Answered{}, fmt.Errorf("announce %s: %w", a.ID, ctx.Err())
+		return steward.Answered{}, fmt.Errorf("announce %s: %w", a.ID, ctx.Err())
 	case <-s.ctx.Done():
-		return leaser.Answered{}, ErrBusy{}
+		return steward.Answered{}, ErrBusy{}
 	}
 }
 
@@ -194,15 +195,13 @@
 	}
 }
 
-func (s *Service) random(stream uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(s.options.Seed, stream))
-}
+func (s *Service) random() *rand.Rand { return rand.New(rand.NewPCG(s.options.Seed, 0)) }
 
 func (s *Service) forwardTicks() {
 	for {
 		select {
 		case <-s.ticks.C:
-			s.jobs.TryPush(tickJob{})
+			s.jobs.TryPush(job{input: steward.Tick{}})
 		case <-s.ctx.Done():
 			return
 		}
@@ -214,7 +213,8 @@
 func (s *Service) Leave(ctx context.Context) {
 	ticks := s.options.Timer.Subscribe("leave", leavePeriod)
 	defer ticks.Cancel()
-	s.jobs.TryPush(leaveJob{})
+	s.options.Logger.Info("leaving the membership")
+	s.complete(job{input: steward.Leave{}})
 	select {
 	case <-ticks.C:
 	case <-ctx.Done():
@@ -248,7 +248,7 @@
 	}
 	if len(own) > 0 {
 		env.Messages = own
-		if !s.jobs.TryPush(receiveJob{envelope: *env}) {
+		if !s.jobs.TryPush(job{input: steward.Received{Envelope: *env}}) {
 			return nil, status.Error(codes.ResourceExhausted, "the membership queue is full")
 		}
 	}
