--- a/entry/routers/peers/caller.go
+++ b/entry/routers/peers/caller.go
@@ -57,7 +57,7 @@
 }
 
 // startFetch asks a peer in a goroutine of its own. The configurer has at most
-// one fetch at a time.
+// two fetches at a time.
 func (s *Service) startFetch(out steward.Fetch) {
 	s.work.Go(func() {
 		req := messenger.FetchRequest{Known: out.Known}
--- a/entry/services/configurer/configurer.go
+++ b/entry/services/configurer/configurer.go
@@ -24,6 +24,9 @@
 	FetchTimeout = 2 * time.Second
 
 	pollRetry = 500 * time.Millisecond
+	// fetchPatience is how late an answer may be before a second peer is asked.
+	fetchPatience = 300 * time.Millisecond
+	maxFetches    = 2
 )
 
 // Settings configure a Machine.
@@ -57,7 +60,8 @@
 	control int
 	pollAt  time.Time
 
-	fetching bool
+	// fetches holds the peers asked and when.
+	fetches map[netip.AddrPort]time.Time
 	// told is the newest version heard of and a peer that holds it.
 	told   uint64
 	teller netip.AddrPort
@@ -68,7 +72,7 @@
 
 // New returns a Machine that starts at now.
 func New(settings Settings, random *rand.Rand, now time.Time) *Machine {
-	m := &Machine{settings: settings, random: random, now: now}
+	m := &Machine{settings: settings, random: random, now: now, fetches: make(map[netip.AddrPort]time.Time)}
 	if n := len(settings.Control); n > 0 {
 		m.control = random.IntN(n)
 	}
@@ -173,23 +177,30 @@
 }
 
 func (m *Machine) hear(in VersionHeard) {
-	if in.Version > m.told || (in.Version == m.told && !m.fetching) {
+	_, isAsked := m.fetches[m.teller]
+	if in.Version > m.told || (in.Version == m.told && (isAsked || !m.teller.IsValid())) {
 		m.told, m.teller = in.Version, in.From
 	}
 }
 
-// fetch asks the peer that told of the newest version, one call at a time.
+// fetch asks the peer that told of the newest version. While its answer is late,
+// a second peer is asked, because the first may have died.
 func (m *Machine) fetch() {
-	if m.fetching || m.told <= m.Version() || !m.teller.IsValid() {
+	if m.told <= m.Version() || !m.teller.IsValid() || len(m.fetches) >= maxFetches {
 		return
 	}
-	m.fetching = true
+	for peer, since := range m.fetches {
+		if peer == m.teller || m.now.Sub(since) < fetchPatience {
+			return
+		}
+	}
+	m.fetches[m.teller] = m.now
 	m.counts.Fetches++
 	m.emit(Fetch{Address: m.teller, Known: m.Version()})
 }
 
 func (m *Machine) acceptFetch(in Fetched) {
-	m.fetching = false
+	delete(m.fetches, in.Address)
 	if in.Failed || in.Catalog == nil || in.Catalog.Version <= m.Version() {
 		m.counts.FetchFailures++
 		if in.Address == m.teller {
