Hand over the lead before a planned stop and end a message loop

Cause: a planned stop cost an election timeout. While the queue limit of a replica was reached, each answer caused an empty request, so that messages never ended; the simulation now fails when messages pile up.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -119,7 +119,8 @@
 }
 
 // startReadiness reports ready while a leader with a majority is known.
-func startReadiness(lc fx.Lifecycle, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
+// It stops first, and lets another replica lead.
+func startReadiness(lc fx.Lifecycle, s settings, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
 	ticks := clock.Subscribe("readiness", readyPoll)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -138,11 +139,14 @@
 			}()
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stop context.Context) error {
 			cancel()
 			<-done
 			ticks.Cancel()
 			readiness.Set(false)
+			stop, cancelStop := context.WithTimeout(stop, s.handOverTimeout())
+			defer cancelStop()
+			replica.HandOver(stop)
 			return nil
 		},
 	})
--- a/control/cmd/control/settings.go
+++ b/control/cmd/control/settings.go
@@ -124,6 +124,10 @@
 	return r
 }
 
+// handOverTimeout bounds the wait for another leader at a planned stop. After it,
+// the others elect one by themselves.
+func (s *settings) handOverTimeout() time.Duration { return 2 * s.ElectionTimeout }
+
 // storage returns the settings of the store.
 func (s *settings) storage() storer.Settings {
 	return storer.Settings{Folder: s.DataFolder, MaxSize: s.MaxDataSize}
--- a/control/services/driver/counting.go
+++ b/control/services/driver/counting.go
@@ -46,6 +46,7 @@
 	c.Func("replica_voters", ofStatus(func(s replicator.Status) any { return s.Membership.Voters() }))
 	c.Func("replica_elections", ofCounts(func(n replicator.Counts) uint64 { return n.Elections }))
 	c.Func("replica_terms_led", ofCounts(func(n replicator.Counts) uint64 { return n.TermsLed }))
+	c.Func("replica_hand_overs", ofCounts(func(n replicator.Counts) uint64 { return n.HandOvers }))
 	c.Func("replica_messages_refused", ofCounts(func(n replicator.Counts) uint64 { return n.MessagesRefused }))
 	c.Func("replica_late_responses", ofCounts(func(n replicator.Counts) uint64 { return n.LateResponses }))
 	c.Func("replica_snapshots_sent", ofCounts(func(n replicator.Counts) uint64 { return n.SnapshotsSent }))
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -130,6 +130,21 @@
 	go d.runApplier()
 }
 
+// HandOver lets another replica lead before a planned stop. It returns once this
+// replica does not lead, or when ctx ends, as it must without a majority.
+func (d *Driver) HandOver(ctx context.Context) {
+	ticks := d.options.Timer.Subscribe("hand over", d.period)
+	defer ticks.Cancel()
+	for d.Status().Role == replicator.RoleLeader && len(d.Status().Membership.Members) > 1 && !d.isStopped() {
+		_ = d.inputs.TryPush(replicator.Resign{}) // repeated at the next tick
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
 // Stop ends all goroutines. Open proposals get ErrOutcomeUnknown. The store can
 // be closed afterwards.
 func (d *Driver) Stop() {
@@ -210,6 +225,9 @@
 		case replicator.Remove:
 			in.Now = now
 			input = in
+		case replicator.Resign:
+			in.Now = now
+			input = in
 		}
 		inputs = append(inputs, input)
 	}
--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -10,7 +10,8 @@
 
 // startElection asks the other voters for votes. With pre it first asks whether
 // they would vote, so that a replica that was cut off does not raise the term.
-func (m *Machine) startElection(pre bool) {
+// With handedOver the present leader gives way.
+func (m *Machine) startElection(pre, handedOver bool) {
 	m.resetElection()
 	if !m.membership().IsVoter(m.id) || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
 		return
@@ -28,7 +29,9 @@
 	}
 	for _, member := range m.membership().Members {
 		if member.Voter && member.ID != m.id {
-			m.sendTo(member, &VoteRequest{Pre: pre, Term: term, LastIndex: m.log.last(), LastTerm: m.log.lastTerm()})
+			m.sendTo(member, &VoteRequest{
+				Pre: pre, Term: term, LastIndex: m.log.last(), LastTerm: m.log.lastTerm(), HandedOver: handedOver,
+			})
 		}
 	}
 	m.countVotes()
@@ -53,7 +56,7 @@
 
 func (m *Machine) handleVoteRequest(from storer.Identity, req *VoteRequest) {
 	// A live leader is not deposed by a replica that was removed or cut off.
-	if m.hasLeader() {
+	if m.hasLeader() && !req.HandedOver {
 		if req.Pre && req.Term <= m.term {
 			m.send(from, &VoteResponse{Pre: true, Term: m.term, For: req.Term})
 		}
@@ -107,7 +110,7 @@
 	}
 	switch m.role {
 	case RolePreCandidate:
-		m.startElection(false)
+		m.startElection(false, false)
 	case RoleCandidate:
 		m.startLeading()
 	}
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -52,6 +52,13 @@
 	Name string
 }
 
+// Resign asks a leader to let another replica lead, before a planned stop. Open
+// proposals are finished, new ones are refused.
+type Resign struct {
+	sealedInput
+	Now time.Time
+}
+
 // SnapshotTaken answers TakeSnapshot.
 type SnapshotTaken struct {
 	sealedInput
--- a/control/services/replicator/histories_test.go
+++ b/control/services/replicator/histories_test.go
@@ -38,7 +38,7 @@
 		n = lead
 	}
 	other := w.nodes[w.rng.IntN(len(w.nodes))]
-	switch w.rng.IntN(13) {
+	switch w.rng.IntN(14) {
 	case 0, 1:
 		if n.machine != nil {
 			w.kill(n)
@@ -70,6 +70,10 @@
 		n.image = n.disk.clone()
 	case 12:
 		w.disturbDisk(n)
+	case 13:
+		if n.machine != nil && !n.frozen {
+			w.step(n, Resign{Now: w.clock(n)})
+		}
 	}
 }
 
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
@@ -43,6 +44,8 @@
 	sendDue     bool
 	heartbeatAt int64
 	joins       map[storer.Identity]storer.Member
+	// resignUntil is when the leader gives up to hand over.
+	resignUntil time.Time
 }
 
 func (m *Machine) startLeading() {
@@ -121,6 +124,9 @@
 
 func (m *Machine) checkLeading() error {
 	if m.role == RoleLeader {
+		if m.isResigning() {
+			return ErrNoQuorum{Reason: "the leader hands over"}
+		}
 		if n, want := m.membership().Voters(), len(m.settings.Peers)/2+1; n < want {
 			return ErrNoQuorum{Reason: "the cluster is being created"}
 		}
@@ -171,6 +177,10 @@
 	if m.clock() >= l.heartbeatAt {
 		l.sendDue = true
 	}
+	if m.isResigning() {
+		m.handOver()
+		return
+	}
 	m.reviewMembership()
 }
 
@@ -191,6 +201,11 @@
 	m.confirmReads()
 }
 
+// hasEntriesFor reports whether entries may be sent to a replica now.
+func (m *Machine) hasEntriesFor(p *progress) bool {
+	return p.sending == nil && p.next <= m.log.last() && p.next-p.match <= maxInFlight
+}
+
 func (m *Machine) sendAppend(to storer.Member, p *progress) {
 	prev := p.next - 1
 	term, ok := m.log.term(prev)
@@ -202,7 +217,7 @@
 		Term: m.term, PrevIndex: prev, PrevTerm: term, Commit: m.commit,
 		Round: m.leading.round, SentAt: m.clock(),
 	}
-	if p.next <= m.log.last() && p.next-p.match <= maxInFlight {
+	if m.hasEntriesFor(p) {
 		req.Entries = m.log.slice(p.next, m.log.last(), m.settings.MaxAppendBytes)
 		p.next += uint64(len(req.Entries))
 	}
@@ -243,18 +258,26 @@
 	if p == nil {
 		return
 	}
+	// No replica can have more of this leader's log than the leader.
+	if resp.Match > m.log.last() {
+		m.counts.MessagesRefused++
+		return
+	}
+	moved := false
 	if resp.Success {
 		p.match = max(p.match, resp.Match)
 		p.next = max(p.next, p.match+1)
 		m.advanceCommit()
-	} else if resp.Hint+1 < p.next {
-		p.next = max(resp.Hint, p.match) + 1
+	} else if next := max(resp.Hint, p.match) + 1; next < p.next {
+		p.next, moved = next, true
 	}
 	m.confirmReads()
 	if m.role != RoleLeader {
 		return
 	}
-	if member, ok := m.membership().Get(from); ok && (p.next <= m.log.last() || !resp.Success) {
+	// Without progress the next heartbeat is soon enough. An answer to each
+	// answer would never end.
+	if member, ok := m.membership().Get(from); ok && (moved || m.hasEntriesFor(p)) {
 		m.sendAppend(member, p)
 	}
 }
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -80,7 +80,7 @@
 
 // Counts are events since the start. They only grow.
 type Counts struct {
-	Elections, TermsLed, MessagesRefused, LateResponses, SnapshotsSent, SnapshotsInstalled,
+	Elections, TermsLed, HandOvers, MessagesRefused, LateResponses, SnapshotsSent, SnapshotsInstalled,
 	MembershipChanges, Verifications, WeakVerifications, JoinsRefused uint64
 }
 
@@ -179,6 +179,9 @@
 	case Remove:
 		m.advance(in.Now)
 		m.remove(in)
+	case Resign:
+		m.advance(in.Now)
+		m.resign()
 	case SnapshotTaken:
 		m.advance(in.Now)
 		m.compact(in)
@@ -201,7 +204,7 @@
 		return
 	}
 	if !m.now.Before(m.electionAt) || m.isAlone() {
-		m.startElection(true)
+		m.startElection(true, false)
 	}
 }
 
@@ -243,6 +246,8 @@
 		m.handleJoinRequest(env.From, msg)
 	case *JoinResponse:
 		m.handleJoinResponse(env.From, msg)
+	case *HandOver:
+		m.handleHandOver(env.From, msg)
 	}
 }
 
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -24,6 +24,7 @@
 	KindVerifyResponse   Kind = 8
 	KindJoinRequest      Kind = 9
 	KindJoinResponse     Kind = 10
+	KindHandOver         Kind = 11
 )
 
 // Message is one of the message types of this package.
@@ -45,6 +46,8 @@
 	Term      uint64
 	LastIndex uint64
 	LastTerm  uint64
+	// HandedOver reports that the leader itself asked for the election.
+	HandedOver bool
 }
 
 // VoteResponse answers a VoteRequest.
@@ -164,6 +167,13 @@
 	Empty bool
 }
 
+// HandOver asks a replica that has the whole log to lead at once.
+type HandOver struct {
+	sealedMessage
+	_    struct{} `cbor:",toarray"`
+	Term uint64
+}
+
 // Kind returns KindVoteRequest.
 func (*VoteRequest) Kind() Kind { return KindVoteRequest }
 
@@ -194,6 +204,9 @@
 // Kind returns KindJoinResponse.
 func (*JoinResponse) Kind() Kind { return KindJoinResponse }
 
+// Kind returns KindHandOver.
+func (*HandOver) Kind() Kind { return KindHandOver }
+
 // Envelope carries a message from one replica to another.
 type Envelope struct {
 	// Cluster is zero while the sender belongs to none.
@@ -265,6 +278,8 @@
 		return &JoinRequest{}, nil
 	case KindJoinResponse:
 		return &JoinResponse{}, nil
+	case KindHandOver:
+		return &HandOver{}, nil
 	default:
 		return nil, ErrKindNotExist{Kind: kind}
 	}
--- a/control/services/replicator/world_test.go
+++ b/control/services/replicator/world_test.go
@@ -14,6 +14,10 @@
 
 const tickPeriod = 20 * time.Millisecond
 
+// maxQueue bounds the messages on their way; a correct cluster of 5 replicas with
+// 5 clients needs a few hundred.
+const maxQueue = 5000
+
 // disk is the durable state of a simulated replica.
 type disk struct {
 	id       storer.Identity
@@ -306,6 +310,10 @@
 		}
 		w.seq++
 		delay := w.minDelay + time.Duration(w.rng.Int64N(int64(w.jitter)))
+		if len(w.queue) >= maxQueue {
+			w.problemf("more than %d messages are on their way", maxQueue)
+			w.queue = nil
+		}
 		heap.Push(&w.queue, delivery{at: w.now + delay, seq: w.seq, to: o.To.Address, env: o.Envelope})
 	}
 }
