--- /dev/null
+++ b/control/services/driver/bench_test.go
@@ -0,0 +1,115 @@
+package driver
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+)
+
+// lines is an Applier that keeps the newest 1,000 commands, as much state as a
+// large configuration.
+type lines struct{ kept []byte }
+
+func (l *lines) Apply(_ uint64, command []byte) ([]byte, error) {
+	l.kept = append(l.kept, command...)
+	if excess := len(l.kept) - 1000*1024; excess > 0 {
+		l.kept = l.kept[excess:]
+	}
+	return nil, nil
+}
+func (l *lines) Snapshot() ([]byte, error)     { return slices.Clone(l.kept), nil }
+func (l *lines) Restore(snapshot []byte) error { l.kept = snapshot; return nil }
+
+// BenchmarkReplicas reports the latency of proposals of 1 KiB, one after the
+// other and 32 at once, with the settings of production, and the size and start
+// of a replica afterwards. TMPDIR names the disk to measure.
+//
+// Run: go test ./services/driver -run '^$' -bench Replicas -benchtime 1x -v.
+func BenchmarkReplicas(b *testing.B) {
+	for _, size := range []int{1, 3} {
+		for _, count := range []int{1000, 10_000} {
+			b.Run(fmt.Sprintf("replicas=%d/commands=%d", size, count), func(b *testing.B) {
+				for b.Loop() {
+					measure(b, size, count)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, size, count int) {
+	peers := newPeers(b, size)
+	replicas := make([]*replica, size)
+	settings := make([]replicator.Settings, size)
+	for i := range peers {
+		settings[i] = replicator.DefaultSettings()
+		settings[i].Name, settings[i].Address, settings[i].Peers, settings[i].Bootstrap = peers[i].Name, peers[i].Address, peers, true
+		replicas[i] = startWith(b, settings[i], storer.Settings{Folder: b.TempDir()}, new(lines))
+	}
+	awaitVoters(b, replicas, size)
+	lead := replicas[leaderOf(replicas)]
+	waits := proposeMany(b, lead, count, 1)
+	b.ReportMetric(float64(waits[count/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(waits[count*99/100].Microseconds())/1000, "p99-ms")
+	began := time.Now()
+	waits = proposeMany(b, lead, count, 32)
+	b.ReportMetric(float64(waits[count*99/100].Microseconds())/1000, "p99-of-32-ms")
+	b.ReportMetric(float64(count)/time.Since(began).Seconds(), "commands/s-of-32")
+	info, err := os.Stat(filepath.Join(lead.folder, "control.db"))
+	require.NoError(b, err)
+	b.ReportMetric(float64(info.Size())/(1<<20), "file-MiB")
+	for _, r := range replicas {
+		r.stop()
+	}
+	began = time.Now()
+	for i, r := range replicas {
+		replicas[i] = startWith(b, settings[i], storer.Settings{Folder: r.folder}, new(lines))
+	}
+	loaded := time.Since(began)
+	for leaderOf(replicas) < 0 || replicas[leaderOf(replicas)].ReadBarrier(b.Context()) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(loaded.Microseconds())/1000/float64(size), "load-ms")
+	b.ReportMetric(time.Since(began).Seconds(), "until-serving-s")
+}
+
+// proposeMany commits commands from parallel callers and returns the sorted
+// latencies.
+func proposeMany(b *testing.B, lead *replica, count, parallel int) []time.Duration {
+	var (
+		mu    sync.Mutex
+		wg    sync.WaitGroup
+		waits []time.Duration
+	)
+	for range parallel {
+		wg.Go(func() {
+			command := make([]byte, 1024)
+			for {
+				began := time.Now()
+				if _, err := lead.Propose(b.Context(), command); err != nil {
+					b.Error(err)
+					return
+				}
+				mu.Lock()
+				waits = append(waits, time.Since(began))
+				isDone := len(waits) >= count
+				mu.Unlock()
+				if isDone {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(waits)
+	return waits
+}
--- a/control/services/driver/driver_test.go
+++ b/control/services/driver/driver_test.go
@@ -82,12 +82,20 @@
 }
 
 func start(t testing.TB, settings replicator.Settings, storage storer.Settings) *replica {
+	t.Helper()
+	applier := new(counter)
+	r := startWith(t, settings, storage, applier)
+	r.applier = applier
+	return r
+}
+
+func startWith(t testing.TB, settings replicator.Settings, storage storer.Settings, applier replicator.Applier) *replica {
 	t.Helper()
 	store, state, err := storer.Open(storage)
 	require.NoError(t, err)
-	r := &replica{folder: storage.Folder, applier: new(counter), store: store}
+	r := &replica{folder: storage.Folder, store: store}
 	r.Driver, err = New(Options{
-		Settings: settings, Store: store, State: state, Applier: r.applier,
+		Settings: settings, Store: store, State: state, Applier: applier,
 		Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(),
 	})
 	require.NoError(t, err)
@@ -195,6 +203,10 @@
 		require.Eventually(t, func() bool { return r.applier.get() == total }, 10*time.Second, 10*time.Millisecond)
 	}
 	lead := leaderOf(replicas)
+	replicas[lead].HandOver(t.Context())
+	require.NotEqual(t, replicator.RoleLeader, replicas[lead].Status().Role)
+	add(1)
+	lead = leaderOf(replicas)
 	require.NoError(t, replicas[lead].ReadBarrier(t.Context()))
 	follower := (lead + 1) % 3
 	_, err := replicas[follower].Propose(t.Context(), nil)
