--- a/gateway/models/messenger/messenger.go
+++ b/gateway/models/messenger/messenger.go
@@ -114,7 +114,9 @@
 	From string    `cbor:"from"`
 	Keys []HeldKey `cbor:"keys,omitempty"`
 	// Copy asks for the keys after the cursor whose group includes From.
-	Copy   bool   `cbor:"copy,omitempty"`
+	Copy bool `cbor:"copy,omitempty"`
+	// Always asks for the keys even if the peer is recovering.
+	Always bool   `cbor:"always,omitempty"`
 	Cursor uint64 `cbor:"cursor,omitempty"`
 }
 
--- a/gateway/services/claimer/claimant.go
+++ b/gateway/services/claimer/claimant.go
@@ -59,6 +59,9 @@
 	if len(m.pending) >= m.settings.MaxPending {
 		return []Output{Decided{Request: in.Request, Outcome: recorder.FailedMayHaveRun{Reason: recorder.ReasonClaimsFull}}}
 	}
+	if !m.thawed.IsZero() && now.Sub(m.thawed) < thawPause {
+		return []Output{Decided{Request: in.Request, Outcome: recorder.FailedMayHaveRun{Reason: recorder.ReasonNoMajority}}}
+	}
 	p := &pending{id: in.Request, key: in.Key, fingerprint: in.Fingerprint, deadline: in.Deadline}
 	if limit := now.Add(m.settings.MaxDeadline); p.deadline.After(limit) {
 		p.deadline = limit
--- a/gateway/services/claimer/group.go
+++ b/gateway/services/claimer/group.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -19,33 +20,46 @@
 // order by key, one of each data centre in turn. Whether gateways are alive
 // does not matter.
 func Group(gateways []viewer.Gateway, key messenger.Key) []viewer.Gateway {
-	names := make([]string, 0, len(gateways))
-	byName := make(map[string]viewer.Gateway, len(gateways))
-	for _, g := range gateways {
-		names = append(names, g.Name)
-		byName[g.Name] = g
-	}
 	hash := hasher.String(key.Service + "\x00" + key.Member + "\x00" + key.Key)
-	var order []string
-	queues := make(map[string][]viewer.Gateway)
-	for _, name := range ranker.Rank(names, hash) {
-		g := byName[name]
-		if len(queues[g.DataCentre]) == 0 {
-			order = append(order, g.DataCentre)
-		}
-		queues[g.DataCentre] = append(queues[g.DataCentre], g)
+	ranked := make([]rankedGateway, len(gateways))
+	for i, g := range gateways {
+		ranked[i].gateway, ranked[i].score = g, ranker.Score(g.Name, hash)
 	}
-	var group []viewer.Gateway
-	for round := 0; len(group) < min(groupSize, len(gateways)); round++ {
-		for _, dc := range order {
-			if round < len(queues[dc]) && len(group) < groupSize {
-				group = append(group, queues[dc][round])
+	slices.SortFunc(ranked, func(a, b rankedGateway) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.gateway.Name, b.gateway.Name))
+	})
+	size := min(groupSize, len(gateways))
+	group := make([]viewer.Gateway, 0, size)
+	// In each round, the first gateway left of each data centre is taken.
+	for round := 0; len(group) < size; round++ {
+		for i := range ranked {
+			r := &ranked[i]
+			if len(group) < size && !r.taken && countOf(group, r.gateway.DataCentre) <= round {
+				r.taken = true
+				group = append(group, r.gateway)
 			}
 		}
 	}
 	return group
 }
 
+// rankedGateway is a gateway with its rendezvous score for a key.
+type rankedGateway struct {
+	gateway viewer.Gateway
+	score   uint64
+	taken   bool
+}
+
+func countOf(group []viewer.Gateway, dataCentre string) int {
+	count := 0
+	for _, g := range group {
+		if g.DataCentre == dataCentre {
+			count++
+		}
+	}
+	return count
+}
+
 func majority(n int) int { return n/2 + 1 }
 
 // list is a gateway list that claims must respect.
--- a/gateway/services/claimer/machine.go
+++ b/gateway/services/claimer/machine.go
@@ -49,8 +49,17 @@
 	recovery recovery
 	epoch    uint64
 	majority func(n int) int
+	// last is the time of the last input, and thawed that of the last input
+	// after a long gap.
+	last   time.Time
+	thawed time.Time
 }
 
+// thawPause is how long no claims are made after a long freeze of the process.
+// Requests that callers sent before or during it are read within this time, and
+// their keys may have expired meanwhile.
+const thawPause = time.Second
+
 // New returns a Machine that recovers the claims that an earlier process of this
 // gateway may have granted.
 func New(settings Settings, now time.Time, rng *rand.Rand) *Machine {
@@ -64,6 +73,10 @@
 
 // Step takes one input into account.
 func (m *Machine) Step(now time.Time, input Input) []Output {
+	if !m.last.IsZero() && now.Sub(m.last) > m.settings.Lifetime/4 {
+		m.thawed = now
+	}
+	m.last = now
 	m.lists = m.lists.current(now)
 	switch in := input.(type) {
 	case ListChanged:
--- a/gateway/services/claimer/recovery.go
+++ b/gateway/services/claimer/recovery.go
@@ -128,7 +128,7 @@
 
 func (m *Machine) askCopy(now time.Time, to viewer.Gateway, c *copyState) Output {
 	c.asked = now
-	return SendHandOver{To: to, Request: messenger.HandOverRequest{From: m.settings.Self, Copy: true, Cursor: c.cursor}}
+	return SendHandOver{To: to, Request: messenger.HandOverRequest{From: m.settings.Self, Copy: true, Cursor: c.cursor, Always: m.settings.FirstStart}}
 }
 
 func (m *Machine) copied(now time.Time, in HandOverAnswered) []Output {
@@ -176,6 +176,9 @@
 		return messenger.HandOverAnswer{}
 	}
 	answer := messenger.HandOverAnswer{Epoch: m.epoch, Recovering: !m.isRecoveredForAll(now), Cursor: req.Cursor, Lists: m.lists.messages()}
+	if answer.Recovering && !req.Always {
+		return answer
+	}
 	size := 0
 	for _, e := range m.store.after(now, req.Cursor) {
 		if size >= pageBytes {
