Probe gateways and hand ownership of slots over

Cause: a gateway that died left its backend servers without an owner until the view said so, a cut between two gateways could make both owners, and every change of owner stopped the grants for a lease and the spread (5 s). Change: gateways probe each other with empty GrantSlots requests. A peer is dead only if a majority is heard and none of those hears it; an owner that hears neither a majority nor all of its data centre grants nothing. A former owner tells its leases to one process of its successor, which then grants at once.

--- a/gateway/models/messenger/messenger.go
+++ b/gateway/models/messenger/messenger.go
@@ -133,6 +133,7 @@
 }
 
 // GrantRequest asks the owner of backend servers for slots and reports results.
+// Without demands it is a probe.
 type GrantRequest struct {
 	From string `cbor:"from"`
 	// Epoch identifies the process that asks.
@@ -168,7 +169,28 @@
 type GrantAnswer struct {
 	// Refused is set if the sequence is old; nothing was changed then.
 	Refused bool    `cbor:"refused,omitempty"`
-	Grants  []Grant `cbor:"grants"`
+	Grants  []Grant `cbor:"grants,omitempty"`
+	// Leaving is set in answers to probes by a gateway that stops. It grants
+	// nothing more.
+	Leaving bool `cbor:"leaving,omitempty"`
+	// Unheard are, in answers to probes, the gateways that the answering one
+	// does not hear.
+	Unheard []string `cbor:"unheard,omitempty"`
+	// Former are, in answers to probes, the leases in force of backend servers
+	// that the answering gateway does not own any more.
+	Former []Leased `cbor:"former,omitempty"`
+	// GaveUp are, in answers to probes, the backend servers that the answering
+	// gateway owned until now and that it takes the asking one for the owner of.
+	// Former has all leases in force of these.
+	GaveUp []announcer.ID `cbor:"gave_up,omitempty"`
+}
+
+// Leased is what a gateway may be using of one backend server.
+type Leased struct {
+	ID        announcer.ID  `cbor:"id"`
+	Gateway   string        `cbor:"gateway"`
+	Slots     int           `cbor:"slots"`
+	Remaining time.Duration `cbor:"remaining"`
 }
 
 // Grant is the number of slots that a gateway may use until the lease ends. The
--- a/gateway/models/viewer/view.go
+++ b/gateway/models/viewer/view.go
@@ -16,8 +16,8 @@
 	Name       string         `json:"name" cbor:"name"`
 	DataCentre string         `json:"data_centre" cbor:"data_centre"`
 	Address    netip.AddrPort `json:"address" cbor:"address"`
-	// Dead is set while the membership reports the gateway's VM as dead.
-	Dead bool `json:"dead,omitempty" cbor:"dead,omitempty"`
+	// Dead is set by this gateway's own probes, never by a source.
+	Dead bool `json:"-" cbor:"-"`
 }
 
 // View is an immutable snapshot. Only gateways of the own region are listed.
--- a/gateway/routers/gateway.go
+++ b/gateway/routers/gateway.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// Stop stops the gateway gracefully: accepted requests are finished, claims are
-// handed over, and slots end with their leases. It returns an error if
+// Stop stops the gateway gracefully: accepted requests are finished, claims and
+// the ownership of backend servers are handed over. It returns an error if
 // requests were cut because ctx ended. Further calls return the same error.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.stopOnce.Do(func() { g.stopErr = g.stop(ctx) })
@@ -130,6 +130,7 @@
 func (g *Gateway) stop(ctx context.Context) error {
 	g.server.Drain()
 	g.config.Readiness.Set(false)
+	g.slots.Push(scheduler.Leave{})
 	select {
 	case <-time.After(g.config.DrainDelay):
 	case <-ctx.Done():
--- a/gateway/services/granter/granter.go
+++ b/gateway/services/granter/granter.go
@@ -51,6 +51,8 @@
 	usual     map[string]time.Duration
 	sequences map[string]sequence
 	last      time.Time
+	mayOwn    bool
+	view      viewer.View
 }
 
 // sequence is the last request of a gateway's process.
@@ -60,12 +62,23 @@
 }
 
 type host struct {
-	record   announcer.Record
-	accepts  bool
-	limiter  limiter.Limiter
-	owned    bool
-	since    time.Time
-	accounts map[string]*account
+	record  announcer.Record
+	accepts bool
+	limiter limiter.Limiter
+	owned   bool
+	since   time.Time
+	// acknowledged are the other gateways of the data centre that have taken
+	// this one for alive since it became the owner; they grant nothing.
+	acknowledged map[string]bool
+	// isVouched is set when the former owner has told all its leases.
+	isVouched bool
+	// isKnown is set when all leases in force are known.
+	isKnown bool
+	// gaveUp is when this gateway was last an active owner, and vouchedTo the
+	// process that it has told so.
+	gaveUp    time.Time
+	vouchedTo uint64
+	accounts  map[string]*account
 }
 
 // account is what a gateway may be using of one backend server.
@@ -104,6 +117,7 @@
 // SetView takes a new view into account.
 func (m *Machine) SetView(now time.Time, view viewer.View) {
 	m.Tick(now)
+	m.view = view
 	seen := make(map[announcer.ID]bool, len(view.Backends))
 	for _, r := range view.Backends {
 		seen[r.ID] = true
@@ -118,7 +132,10 @@
 		h.record, h.accepts = r, view.Accepts(r)
 		owned := Owner(view, r) == m.self
 		if owned && !h.owned {
-			h.since = now
+			h.restart(now)
+		}
+		if !owned && m.isActive(now, h) {
+			h.giveUp(now)
 		}
 		h.owned = owned
 	}
@@ -132,13 +149,36 @@
 // Tick must be called at least every half second.
 func (m *Machine) Tick(now time.Time) {
 	if !m.last.IsZero() && now.Sub(m.last) > freezeGap {
-		for _, h := range m.hosts {
-			h.since = now
-		}
+		m.restartAll(now)
 	}
 	m.last = now
 }
 
+// SetMayOwn tells whether this gateway may act as an owner. When it may again,
+// others may have granted in the meantime.
+func (m *Machine) SetMayOwn(now time.Time, mayOwn bool) {
+	if mayOwn && !m.mayOwn {
+		m.restartAll(now)
+	}
+	for _, h := range m.hosts {
+		if !mayOwn && m.isActive(now, h) {
+			h.giveUp(now)
+		}
+	}
+	m.mayOwn = mayOwn
+}
+
+func (m *Machine) restartAll(now time.Time) {
+	for _, h := range m.hosts {
+		h.restart(now)
+	}
+}
+
+// restart makes the owner wait for the grants of former owners to end.
+func (h *host) restart(now time.Time) {
+	h.since, h.isKnown, h.isVouched, h.acknowledged = now, false, false, make(map[string]bool)
+}
+
 // Limit returns the limit of an owned backend server, for counters.
 func (m *Machine) Limit(now time.Time, id announcer.ID) int {
 	if h := m.hosts[id]; h != nil && h.owned {
@@ -196,7 +236,7 @@
 		a.heldSince = now
 	}
 	a.held, a.until = held, now.Add(m.settings.Lease+m.grace(h))
-	if now.Sub(h.since) < m.settings.Lease+m.settings.Spread {
+	if m.isWaiting(now, h) {
 		return messenger.Grant{ID: d.ID, Waiting: true}
 	}
 	a.want, a.wantSeen, a.total = max(0, d.Want-held), now, d.Total
--- a/gateway/services/leaser/leaser.go
+++ b/gateway/services/leaser/leaser.go
@@ -139,6 +139,9 @@
 	}
 }
 
+// Epoch identifies this process in requests to owners.
+func (l *Leases) Epoch() uint64 { return l.epoch }
+
 // Take takes a free slot of the service, first of backend servers in the own
 // data centre, then of the one that was not chosen for longest.
 func (l *Leases) Take(now time.Time, service string) (Slot, bool) {
--- a/gateway/services/scheduler/messages.go
+++ b/gateway/services/scheduler/messages.go
@@ -62,6 +62,9 @@
 	IDs      []announcer.ID
 }
 
+// Leave makes this gateway grant nothing more, before a stop.
+type Leave struct{}
+
 // Tick is due every 10 ms.
 type Tick struct{}
 
@@ -72,6 +75,7 @@
 func (GrantAsked) isInput()       {}
 func (GrantAnswered) isInput()    {}
 func (GrantFailed) isInput()      {}
+func (Leave) isInput()            {}
 func (Tick) isInput()             {}
 
 // Output is an action that the Machine asks for.
--- a/gateway/services/scheduler/scheduler.go
+++ b/gateway/services/scheduler/scheduler.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/redwingledge/redwingledge/gateway/models/messenger"
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
 	"github.com/redwingledge/redwingledge/gateway/models/viewer"
 	"github.com/redwingledge/redwingledge/gateway/services/granter"
 	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+	"github.com/redwingledge/redwingledge/gateway/services/prober"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 )
@@ -41,14 +43,22 @@
 	services []string
 	idle     map[string]time.Time
 	asked    time.Time
+	prober   *prober.Machine
+	// applied and marked are the view that the leases and grants follow.
+	applied uint64
+	marked  []viewer.Gateway
 }
 
+// probeSequence is the sequence of probes; requests for slots have greater ones.
+const probeSequence = 0
+
 // New returns a Machine without a view.
 func New(settings Settings, rng *rand.Rand) *Machine {
 	return &Machine{
 		settings: settings,
 		leases:   leaser.New(settings.Self, settings.Slots.Lease, rng),
 		granter:  granter.New(settings.Self, settings.Slots),
+		prober:   prober.New(settings.Self),
 		queues:   make(map[string]*queuer.Queue),
 		idle:     make(map[string]time.Time),
 	}
@@ -60,8 +70,11 @@
 	switch in := input.(type) {
 	case ViewChanged:
 		m.view = in.View
-		m.leases.SetView(in.View)
-		m.granter.SetView(now, in.View)
+		m.prober.SetGateways(now, in.View.Gateways)
+		m.applyView(now)
+	case Leave:
+		m.prober.Leave()
+		m.applyView(now)
 	case RequestQueued:
 		out = m.enqueue(now, in)
 	case RequestCancelled:
@@ -75,14 +88,17 @@
 			q.ObserveRun(in.Latency)
 		}
 	case GrantAsked:
-		return []Output{AnswerGrant{Call: in.Call, Answer: m.granter.Grant(now, in.Request)}}
+		return []Output{AnswerGrant{Call: in.Call, Answer: m.grant(now, in.Request)}}
 	case GrantAnswered:
+		if in.Sequence == probeSequence {
+			m.probed(now, in)
+			break
+		}
 		m.leases.Granted(now, in.From, in.Sequence, in.Answer)
 	case GrantFailed:
 		m.leases.Failed(now, in.From, in.Sequence, in.IDs)
 	case Tick:
-		m.granter.Tick(now)
-		out = m.expire(now)
+		out = append(m.probe(now), m.expire(now)...)
 	}
 	out = append(out, m.start(now)...)
 	if !m.isAskDue(now, input) {
@@ -106,6 +122,51 @@
 	return slices.ContainsFunc(m.services, func(service string) bool { return m.queues[service].Len() > 0 })
 }
 
+// probe sends the probes that are due and notes which gateways have died.
+func (m *Machine) probe(now time.Time) []Output {
+	m.granter.Tick(now)
+	var out []Output
+	for _, name := range m.prober.Tick(now) {
+		out = append(out, SendGrantRequest{To: name, Request: messenger.GrantRequest{From: m.settings.Self, Epoch: m.leases.Epoch(), Sequence: probeSequence}})
+	}
+	m.applyView(now)
+	return out
+}
+
+func (m *Machine) probed(now time.Time, in GrantAnswered) {
+	sent, isAcknowledged := m.prober.Answered(now, in.From, in.Answer.Leaving, in.Answer.Unheard)
+	m.applyView(now)
+	if isAcknowledged {
+		m.granter.Acknowledge(now, in.From, sent, in.Answer)
+	}
+}
+
+// applyView passes the view on if it or the marks of dead gateways changed.
+func (m *Machine) applyView(now time.Time) {
+	marked := m.prober.Mark(now)
+	m.granter.SetMayOwn(now, m.prober.MayOwn(now))
+	if m.view.Version == m.applied && slices.Equal(marked, m.marked) {
+		return
+	}
+	m.applied, m.marked = m.view.Version, marked
+	view := m.view
+	view.Gateways = marked
+	m.leases.SetView(view)
+	m.granter.SetView(now, view)
+}
+
+func (m *Machine) grant(now time.Time, req messenger.GrantRequest) messenger.GrantAnswer {
+	if len(req.Demands) == 0 {
+		m.applyView(now)
+		return messenger.GrantAnswer{
+			Leaving: m.prober.IsLeaving(now), Unheard: m.prober.Unheard(now),
+			Former: m.granter.Former(now), GaveUp: m.granter.GaveUp(now, req.From, req.Epoch),
+		}
+	}
+	m.granter.SetMayOwn(now, m.prober.MayOwn(now))
+	return m.granter.Grant(now, req)
+}
+
 func (m *Machine) enqueue(now time.Time, in RequestQueued) []Output {
 	q := m.queues[in.Service]
 	if q == nil {
@@ -156,7 +217,7 @@
 	var out []Output
 	for _, ask := range m.leases.Asks(now, need) {
 		if ask.To == m.settings.Self {
-			m.leases.Granted(now, ask.To, ask.Request.Sequence, m.granter.Grant(now, ask.Request))
+			m.leases.Granted(now, ask.To, ask.Request.Sequence, m.grant(now, ask.Request))
 			continue
 		}
 		out = append(out, SendGrantRequest{To: ask.To, Request: ask.Request})
