Follow the view of an entry

Cause: gateways only read their view from a file. Conclusion: the gateway plugs into entries; not yet run against a real entry.

--- a/gateway/cmd/gateway/main.go
+++ b/gateway/cmd/gateway/main.go
@@ -18,6 +18,7 @@
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/setting"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
 
 func main() {
@@ -46,6 +47,9 @@
 		return nil, err
 	}
 	config.Source = watcher.NewFileSource(s.ViewFile)
+	if len(s.Entries) > 0 {
+		config.Source = watcher.NewEntrySource(s.Name, s.Entries, transporter.NewPool(config.TLS))
+	}
 	config.Clock, config.Counters, config.Readiness = clock, counters, readiness
 	config.Registry, config.Logger = registry, logger
 	return routers.NewGateway(config)
--- a/gateway/cmd/gateway/settings.go
+++ b/gateway/cmd/gateway/settings.go
@@ -20,10 +20,11 @@
 
 	Version kong.VersionFlag `name:"version" help:"Print the version and exit."`
 
-	Name        string         `name:"name" env:"REDWINGLEDGE_NAME" required:"" help:"Name of this gateway in the configuration."`
-	HTTPAddress netip.AddrPort `name:"http-address" env:"REDWINGLEDGE_HTTP_ADDRESS" default:"127.0.0.1:8080" help:"IP:PORT for callers; HTTP/1.1 and HTTP/2."`
-	PeerAddress netip.AddrPort `name:"peer-address" env:"REDWINGLEDGE_PEER_ADDRESS" default:"127.0.0.1:8081" help:"IP:PORT for other gateways; gRPC."`
-	ViewFile    string         `name:"view-file" env:"REDWINGLEDGE_VIEW_FILE" required:"" placeholder:"FILE" help:"JSON file with gateways, services and backend servers; changes are followed."`
+	Name        string           `name:"name" env:"REDWINGLEDGE_NAME" required:"" help:"Name of this gateway in the configuration."`
+	HTTPAddress netip.AddrPort   `name:"http-address" env:"REDWINGLEDGE_HTTP_ADDRESS" default:"127.0.0.1:8080" help:"IP:PORT for callers; HTTP/1.1 and HTTP/2."`
+	PeerAddress netip.AddrPort   `name:"peer-address" env:"REDWINGLEDGE_PEER_ADDRESS" default:"127.0.0.1:8081" help:"IP:PORT for other gateways; gRPC."`
+	Entries     []netip.AddrPort `name:"entry" env:"REDWINGLEDGE_ENTRIES" help:"IP:PORT of the gRPC address of an entry to follow; repeat it for several, nearest first."`
+	ViewFile    string           `name:"view-file" env:"REDWINGLEDGE_VIEW_FILE" placeholder:"FILE" help:"JSON file with gateways, services and backend servers, instead of entries; changes are followed."`
 
 	MemberHeader          string        `name:"member-header" env:"REDWINGLEDGE_MEMBER_HEADER" default:"Member" help:"Request header that names the member."`
 	MemberFromCertificate bool          `name:"member-from-certificate" env:"REDWINGLEDGE_MEMBER_FROM_CERTIFICATE" help:"Take the member from the common name of the client certificate, and ignore the header."`
@@ -54,6 +55,9 @@
 	if s.Name == "" || len(s.Name) > 128 {
 		problems.Addf("name", "must have 1 to 128 bytes")
 	}
+	if (len(s.Entries) == 0) == (s.ViewFile == "") {
+		problems.Addf("entry", "set either --entry or --view-file")
+	}
 	if s.MemberFromCertificate && !s.HasCertificates() {
 		problems.Addf("member-from-certificate", "needs --tls-cert, --tls-key and --tls-ca")
 	}
