Run the gateway in the demonstration

Cause: the demonstration left requests out, and a request service needed an address that nothing used. Change: stand-in backend servers that answer HTTP requests with 2 slots, a gateway that follows the entries, orders that are sent twice each; a request service may have no address.

--- a/demo/cmd/rwdemo/main.go
+++ b/demo/cmd/rwdemo/main.go
@@ -83,6 +83,12 @@
 	if err := system.Demonstrate(ctx, show); err != nil {
 		return err
 	}
-	fmt.Println("all flows survived")
+	if err := system.StartGateway(ctx); err != nil {
+		return err
+	}
+	if err := system.SendOrders(ctx, show); err != nil {
+		return err
+	}
+	fmt.Println("all flows survived and all orders ran once")
 	return nil
 }
--- a/demo/services/demonstrator/control.go
+++ b/demo/services/demonstrator/control.go
@@ -127,6 +127,8 @@
 		fmt.Fprintf(&b, "  - name: %s\n    kind: flow\n    protocol: %s\n    addresses: [\"%s\"]\n    token_sha256: %s\n",
 			kind.Service, protocol, kind.Address, hashToken(serviceToken))
 	}
+	fmt.Fprintf(&b, "  - name: %s\n    kind: request\n    token_sha256: %s\n", requestService, hashToken(serviceToken))
+	fmt.Fprintf(&b, "gateways:\n  - name: %s\n    data_centre: kano-a\n    address: %s\n", gatewayName, s.gatewayAddresses.peer)
 	b.WriteString("entries:\n")
 	for i := range maxEntries {
 		name := entryName(i)
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -22,6 +22,7 @@
 	"github.com/redwingledge/redwingledge/demo/services/responder"
 	"github.com/redwingledge/redwingledge/demo/services/sprayer"
 	"github.com/redwingledge/redwingledge/demo/services/starter"
+	"github.com/redwingledge/redwingledge/demo/services/worker"
 	shared "github.com/redwingledge/redwingledge/shared/models/announcer"
 )
 
@@ -75,9 +76,11 @@
 	backends map[shared.ID]*backend
 	control  *starter.Process
 	gateway  *starter.Process
+	workers  []*worker.Worker
 	operator netip.AddrPort
 	replica  netip.AddrPort
 
+	gatewayAddresses gatewayAddresses
 	// addresses are those of all entries that the declaration lists.
 	addresses map[string]entryAddresses
 
@@ -120,15 +123,19 @@
 // that did not stop cleanly.
 func (s *System) Stop(ctx context.Context) error {
 	var errs []error
+	if s.gateway != nil {
+		errs = append(errs, s.gateway.Stop(ctx))
+	}
 	for _, name := range s.EntryNames() {
 		errs = append(errs, s.StopEntry(ctx, name))
 	}
-	for _, process := range []*starter.Process{s.gateway, s.control} {
-		if process != nil {
-			errs = append(errs, process.Stop(ctx))
-		}
+	if s.control != nil {
+		errs = append(errs, s.control.Stop(ctx))
 	}
 	s.cancel()
+	for _, w := range s.workers {
+		errs = append(errs, w.Shutdown(ctx))
+	}
 	errs = append(errs, s.fabric.Close())
 	s.running.Wait()
 	return errors.Join(errs...)
@@ -278,6 +285,11 @@
 		}
 		s.addresses[entryName(i)] = entryAddresses{admin: free[0], packets: free[1], announce: free[2], grpc: free[3]}
 	}
+	free, err := starter.FreeAddresses(3)
+	if err != nil {
+		return err
+	}
+	s.gatewayAddresses = gatewayAddresses{admin: free[0], http: free[1], peer: free[2]}
 	return nil
 }
 
