--- a/control/services/collector/collector.go
+++ b/control/services/collector/collector.go
@@ -17,7 +17,7 @@
 // that they stay below reportRate (a tenth of the control budget of an entry,
 // which is 5 kB/s).
 const (
-	minInterval   = 10 * time.Second
+	minInterval   = 2 * time.Second
 	reportRate    = 500 // bytes per second
 	bytesPerEntry = 120 // of one backend server in a report, with long names
 )
--- a/entry/routers/decider/decider.go
+++ b/entry/routers/decider/decider.go
@@ -63,6 +63,12 @@
 	ready     atomic.Bool
 
 	queueFull, messagesDropped *expvar.Int
+	placement                  placementCounters
+}
+
+// placementCounters publish what the placement counts.
+type placementCounters struct {
+	held, relayed, queried, droppedHints *expvar.Int
 }
 
 // New returns a Decider that does nothing until Start.
@@ -72,6 +78,12 @@
 		ring: buffer.NewRing[work](ringSize), left: make(chan struct{}),
 		queueFull:       counters.Int("packets_dropped_queue_full"),
 		messagesDropped: counters.Int("placement_messages_dropped"),
+		placement: placementCounters{
+			held:         counters.Int("placement_held"),
+			relayed:      counters.Int("placement_relayed"),
+			queried:      counters.Int("placement_queried"),
+			droppedHints: counters.Int("placement_hints_dropped"),
+		},
 	}
 }
 
@@ -202,6 +214,11 @@
 		return
 	}
 	d.observeAt = now.Add(observePeriod)
+	counts := d.machine.GetCounters()
+	d.placement.held.Set(int64(counts.Held))
+	d.placement.relayed.Set(int64(counts.Relayed))
+	d.placement.queried.Set(int64(counts.Queried))
+	d.placement.droppedHints.Set(int64(counts.DroppedHints))
 	for _, o := range d.forwarder.TakeObservations() {
 		d.peers.Observe(o.ID, o.Responses, o.Failures)
 	}
--- a/entry/services/translator/packet.go
+++ b/entry/services/translator/packet.go
@@ -66,7 +66,6 @@
 	ReasonFragment
 	ReasonTransport
 	ReasonUnknownAddress
-	ReasonUnknownSource
 	ReasonNoBackendServer
 	ReasonTakenOut
 	ReasonNotReady
@@ -87,7 +86,6 @@
 	ReasonFragment:        "fragment",
 	ReasonTransport:       "transport_protocol",
 	ReasonUnknownAddress:  "unknown_address",
-	ReasonUnknownSource:   "unknown_source",
 	ReasonNoBackendServer: "no_backend_server",
 	ReasonTakenOut:        "taken_out",
 	ReasonNotReady:        "not_ready",
