Keep load reports for 30 s whatever their interval

Cause: with an interval of 2 s a report went stale after 6 s, which the golden plan of a drain showed.

--- a/control/services/collector/collector.go
+++ b/control/services/collector/collector.go
@@ -22,9 +22,13 @@
 	bytesPerEntry = 120 // of one backend server in a report, with long names
 )
 
-// staleIntervals is the number of intervals after which a report no longer
-// counts. One lost report must not make figures unknown.
-const staleIntervals = 3
+// A report no longer counts after staleIntervals intervals, and not before
+// minStale: a change of the leader or a restart of a replica must not make figures
+// unknown.
+const (
+	staleIntervals = 3
+	minStale       = 30 * time.Second
+)
 
 // MaxServers bounds one report. The design size has 3,900 hosts.
 const MaxServers = 20_000
@@ -47,7 +51,7 @@
 // Add keeps the report and returns the interval until the next one.
 func (c *Collector) Add(now time.Time, report observer.Report) time.Duration {
 	interval := max(minInterval, time.Duration(len(report.Servers)*bytesPerEntry/reportRate)*time.Second)
-	c.reports[report.Reporter] = received{report: report, at: now, expiry: now.Add(staleIntervals * interval)}
+	c.reports[report.Reporter] = received{report: report, at: now, expiry: now.Add(max(minStale, staleIntervals*interval))}
 	return interval
 }
 
