Follow the new age limit of load reports in its test

Cause: the test took three intervals as the age limit; with the interval of 2 s the limit is now 30 s. Change: the test asks at exactly the new limit; it is as strict as before, as the older report must be gone and the newer one counted.

--- a/control/services/collector/collector_test.go
+++ b/control/services/collector/collector_test.go
@@ -36,7 +36,8 @@
 	require.Equal(t, 2, summary.Reporters)
 	require.Equal(t, start.UnixMilli(), int64(summary.Oldest))
 
-	summary = c.Summarise(start.Add(3*interval), catalog)
+	stale := max(3*interval, 30*time.Second)
+	summary = c.Summarise(start.Add(stale), catalog)
 	require.Equal(t, 1, summary.Reporters, "the older report no longer counts")
 	require.Equal(t, int64(5), summary.Groups[0].Flows)
 
