--- /dev/null
+++ b/entry/models/messenger/placement_test.go
@@ -0,0 +1,31 @@
+package messenger
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Guards against messages that lose content on the wire or are not registered.
+func TestPlacementMessagesSurviveTheWire(t *testing.T) {
+	sent := Envelope{From: "entry-0", Incarnation: 7, Messages: []Message{
+		Placements{Targets: []uint64{1, 2}, Lines: []byte{1, 2, 3}, IsReplacing: true},
+		FlowQuery{ID: 3, Flows: []byte{4}, Service: 5},
+		FlowAnswer{ID: 3, Targets: []uint64{6}, Lines: []byte{7}},
+		Digest{Service: 1, Version: 2, Stream: 3, Phase: PhaseCorrection, Part: 4, IsLast: true, Targets: []uint64{5}, Groups: []byte{6}},
+		DigestAck{Stream: 1 << 40, Part: 2},
+		Standing{IsReady: true, Sequence: 1 << 60, WantsAnswer: true, WantsTransfer: true},
+		SilenceQuery{ID: 8, Flows: []byte{9}},
+		SilenceAnswer{ID: 8, Flows: []byte{9}},
+	}}
+	data, err := sent.MarshalCBOR()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Envelope
+	if err := got.UnmarshalCBOR(data); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, sent) {
+		t.Errorf("got %+v, want %+v", got, sent)
+	}
+}
--- a/entry/services/placer/asker.go
+++ b/entry/services/placer/asker.go
@@ -226,6 +226,12 @@
 	q := m.asks.queries[id]
 	delete(m.asks.queries, id)
 	for _, flow := range q.flows {
+		f := m.asks.flows[flow]
+		if f != nil && f.scope != askAll && m.needsAll(m.services[f.service], f.tickets[0].packet) {
+			// A table has become active meanwhile.
+			m.askOthers(flow)
+			continue
+		}
 		m.release(flow, 0)
 	}
 }
@@ -264,16 +270,11 @@
 	a.spare = append(a.spare, f)
 }
 
-// askOthers asks all peers about the flows of a query that the one peer asked has not
-// answered. It may be frozen or dead.
-func (m *Machine) askOthers(id uint32) {
-	q := m.asks.queries[id]
-	delete(m.asks.queries, id)
-	for _, flow := range q.flows {
-		if f := m.asks.flows[flow]; f != nil {
-			f.scope = askAll
-			m.asks.unsent = append(m.asks.unsent, flow)
-		}
+// askOthers asks all peers about a flow after one peer.
+func (m *Machine) askOthers(flow uint64) {
+	if f := m.asks.flows[flow]; f != nil {
+		f.scope = askAll
+		m.asks.unsent = append(m.asks.unsent, flow)
 	}
 }
 
@@ -285,7 +286,11 @@
 		q := m.asks.queries[id]
 		switch {
 		case !q.deadline.After(m.now) && q.scope != askAll:
-			m.askOthers(id)
+			// The peer may be frozen or dead.
+			delete(m.asks.queries, id)
+			for _, flow := range q.flows {
+				m.askOthers(flow)
+			}
 		case !q.deadline.After(m.now):
 			m.finishQuery(id)
 		case !q.isRepeated && q.deadline.Sub(m.now) <= m.config.QueryLimit/2:
--- a/entry/services/placer/decide.go
+++ b/entry/services/placer/decide.go
@@ -203,13 +203,11 @@
 	if b.state == informed {
 		return m.place(svc, packet, m.target(svc, tabler.Bucket(packet.Flow)), true)
 	}
-	needsAll := (packet.Protocol == ProtocolUDP && m.hasFormer(svc, b)) ||
-		(!packet.isSYN() && m.countFormers(svc, b) > 1)
 	isOwner := m.owner(svc, packet.Flow) == self
 	switch {
 	case !isOwner && packet.isSYN():
 		return m.ask(svc, packet, askOwner)
-	case svc.ownerChanges >= askAllChanges || needsAll:
+	case svc.ownerChanges >= askAllChanges || m.needsAll(svc, packet):
 		return m.ask(svc, packet, askAll)
 	case svc.ownerChanges > 0 || !isOwner:
 		return m.ask(svc, packet, askNext)
@@ -233,10 +231,15 @@
 	return m.place(svc, packet, m.target(svc, index), true)
 }
 
-// hasFormer reports whether flows of a contested bucket may be on another target
-// than the one in the table.
-func (m *Machine) hasFormer(svc *service, b *bucket) bool { return m.countFormers(svc, b) > 0 }
+// needsAll reports whether the target of an unknown flow is a matter of fact that
+// any entry may know: for UDP, and for TCP with more than one former target.
+func (m *Machine) needsAll(svc *service, packet Packet) bool {
+	formers := m.countFormers(svc, &svc.buckets[tabler.Bucket(packet.Flow)])
+	return (packet.Protocol == ProtocolUDP && formers > 0) || (!packet.isSYN() && formers > 1)
+}
 
+// countFormers returns the number of targets, besides the one in the table, that
+// flows of a contested bucket may be on.
 func (m *Machine) countFormers(svc *service, b *bucket) int {
 	n := 0
 	for _, former := range b.formers {
--- /dev/null
+++ b/entry/services/placer/decide_test.go
@@ -0,0 +1,240 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// newLone returns a ready machine without peers.
+func newLone() (*network, *Machine) {
+	n := newNetwork(1, 1)
+	n.run(5 * time.Second)
+	return n, n.nodes[0].machine
+}
+
+// Guards against allocations for a packet, which would let the garbage collector
+// stall all packets.
+func TestDecideDoesNotAllocate(t *testing.T) {
+	n, m := newLone()
+	rng := rand.New(rand.NewPCG(6, 6))
+	cases := map[string]func() Packet{
+		"hit":  func() Packet { return Packet{Flow: 1 << 40} },
+		"miss": func() Packet { return Packet{Flow: rng.Uint64(), Flags: FlagSYN} },
+	}
+	for name, packet := range cases {
+		if allocs := testing.AllocsPerRun(20_000, func() { m.Decide(n.now, packet()) }); allocs > 0 {
+			t.Errorf("%s: %.2f allocations per packet, want 0", name, allocs)
+		}
+	}
+	peers := newNetwork(1, 8)
+	peers.run(5 * time.Second)
+	peers.drain(0)
+	peers.run(2 * time.Second)
+	contestedMachine := peers.nodes[0].machine
+	if contestedMachine.ContestedBuckets(services[0]) == 0 {
+		t.Fatal("no bucket is contested")
+	}
+	if allocs := testing.AllocsPerRun(20_000, func() { contestedMachine.Decide(peers.now, Packet{Flow: rng.Uint64()}) }); allocs > 0 {
+		t.Errorf("contested: %.2f allocations per packet, want 0", allocs)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	flows := make([]uint64, 1<<18)
+	for i := range flows {
+		flows[i] = rng.Uint64()
+	}
+	run := func(name string, m *Machine, now time.Time, packet func(i int) Packet) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m.Decide(now, packet(i))
+			}
+		})
+	}
+	n := newNetwork(1, 8)
+	n.flowLimit = 400_000
+	for _, e := range n.nodes {
+		n.startEntry(e)
+	}
+	n.run(5 * time.Second)
+	m := n.nodes[0].machine
+	for _, f := range flows {
+		m.Decide(n.now, Packet{Flow: f})
+	}
+	run("hit of 262,144 flows", m, n.now, func(i int) Packet { return Packet{Flow: flows[i%len(flows)]} })
+	run("miss", m, n.now, func(int) Packet { return Packet{Flow: rng.Uint64(), Flags: FlagSYN} })
+	n.drain(0)
+	n.run(3500 * time.Millisecond)
+	run("miss during a drain", m, n.now, func(int) Packet { return Packet{Flow: rng.Uint64()} })
+}
+
+// Guards against packets to a data centre that operators have taken out.
+func TestTakenOut(t *testing.T) {
+	n, m := newLone()
+	rng := rand.New(rand.NewPCG(8, 8))
+	flows := make([]uint64, 1000)
+	for i := range flows {
+		flows[i] = rng.Uint64()
+		m.Decide(n.now, Packet{Flow: flows[i], Flags: FlagSYN})
+	}
+	out, err := n.catalog.WithTakenOut("kano-b", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Step(n.now, CatalogChanged{Catalog: out})
+	given := 0
+	for _, f := range flows {
+		d := m.Decide(n.now, Packet{Flow: f})
+		if d.Action == ActionDrop && d.Reason == ReasonTakenOut {
+			given++
+		} else if d.Action != ActionForward || m.GetBackend(d.Backend).DataCentre == "kano-b" {
+			t.Fatalf("packet of an old flow: %+v", d)
+		}
+		d = m.Decide(n.now, Packet{Flow: rng.Uint64(), Flags: FlagSYN})
+		if d.Action != ActionForward || m.GetBackend(d.Backend).DataCentre == "kano-b" {
+			t.Fatalf("packet of a new flow: %+v", d)
+		}
+	}
+	if given < 400 || given > 600 {
+		t.Errorf("%d of 1000 flows given up, want about half", given)
+	}
+}
+
+// Guards against an unbounded number of packets that wait for answers.
+func TestHoldIsBounded(t *testing.T) {
+	n := newNetwork(1, 8)
+	n.run(5 * time.Second)
+	n.drain(0)
+	n.run(3500 * time.Millisecond)
+	m := n.nodes[0].machine
+	rng := rand.New(rand.NewPCG(9, 9))
+	held, full := 0, 0
+	for range 400_000 {
+		switch d := m.Decide(n.now, Packet{Flow: rng.Uint64(), Protocol: ProtocolUDP}); {
+		case d.Action == ActionHold:
+			held++
+		case d.Reason == ReasonHoldFull:
+			full++
+		}
+	}
+	if held != 1024 || full == 0 {
+		t.Fatalf("%d packets held, %d refused; want 1024 and more than 0", held, full)
+	}
+	released := 0
+	for range 20 {
+		n.now = n.now.Add(20 * time.Millisecond)
+		for _, output := range m.Step(n.now, Tick{}) {
+			if _, ok := output.(PacketReleased); ok {
+				released++
+			}
+		}
+	}
+	if released != held {
+		t.Errorf("%d of %d held packets released without answers", released, held)
+	}
+}
+
+// Guards against flows that wait forever for a backend server that has forgotten
+// them, and against resets of flows that are answered through another entry.
+func TestSilentFlows(t *testing.T) {
+	n := newNetwork(1, 2)
+	n.loss = 0
+	n.run(5 * time.Second)
+	m, peer := n.nodes[0].machine, n.nodes[1].machine
+	const silent, answered = 1 << 40, 2 << 40
+	other := uint64(3 << 40)
+	target := m.Decide(n.now, Packet{Flow: silent, Flags: FlagSYN}).Backend
+	for _, flow := range []uint64{silent, answered, other} {
+		m.Decide(n.now, Packet{Flow: flow, Flags: FlagSYN})
+		peer.Decide(n.now, Packet{Flow: flow, Flags: FlagSYN})
+	}
+	resets := map[uint64]int{}
+	for range 20 {
+		n.run(time.Second)
+		id := m.GetBackend(target).ID
+		atPeer, _ := peer.BackendIndex(id)
+		m.Observe(n.now, Reply{Flow: other, Backend: target})
+		peer.Observe(n.now, Reply{Flow: answered, Backend: atPeer})
+		for _, flow := range []uint64{silent, answered} {
+			if m.Decide(n.now, Packet{Flow: flow}).Action == ActionReset {
+				resets[flow]++
+			}
+		}
+	}
+	if resets[silent] != 1 || resets[answered] != 0 {
+		t.Errorf("resets: %d of the silent flow, %d of the answered one; want 1 and 0", resets[silent], resets[answered])
+	}
+}
+
+// Guards against a caller's port that is used again while its old backend server
+// drains: all entries must take the new flow to the same place.
+func TestReopenedFlow(t *testing.T) {
+	n := newNetwork(1, 8)
+	n.loss = 0
+	n.run(5 * time.Second)
+	const flow = 12345<<32 | 77
+	var old announcer.ID
+	for _, e := range n.nodes {
+		d := e.machine.Decide(n.now, Packet{Flow: flow})
+		old = e.machine.GetBackend(d.Backend).ID
+	}
+	n.nodes[0].machine.Decide(n.now, Packet{Flow: flow, Flags: FlagFIN})
+	record := n.records[old]
+	record.State, record.Sequence = announcer.StateDraining, record.Sequence+1
+	for _, e := range n.nodes {
+		n.hear(e, record)
+	}
+	n.run(30 * time.Second)
+	m := n.nodes[1].machine
+	got := m.GetBackend(m.Decide(n.now, Packet{Flow: flow, Flags: FlagSYN}).Backend).ID
+	if got == old {
+		t.Error("a new flow went to a draining backend server")
+	}
+	n.run(50 * time.Millisecond)
+	for _, e := range n.nodes {
+		if d := e.machine.Decide(n.now, Packet{Flow: flow}); e.machine.GetBackend(d.Backend).ID != got {
+			t.Errorf("%s sends the flow to %v, want %v", e.name, e.machine.GetBackend(d.Backend).ID, got)
+		}
+	}
+}
+
+// Guards against panics and wrong targets after malformed messages.
+func TestMalformedMessages(t *testing.T) {
+	n := newNetwork(1, 2)
+	n.run(5 * time.Second)
+	m := n.nodes[0].machine
+	rng := rand.New(rand.NewPCG(10, 10))
+	junk := func() []byte {
+		b := make([]byte, rng.IntN(40))
+		for i := range b {
+			b[i] = byte(rng.Uint32())
+		}
+		return b
+	}
+	for range 20_000 {
+		targets := []uint64{rng.Uint64(), hashBackend(announcer.ID{Service: services[0], Host: "host-1"})}[:rng.IntN(3)]
+		for _, message := range []messenger.Message{
+			messenger.Placements{Targets: targets, Lines: junk(), IsReplacing: rng.IntN(2) == 0},
+			messenger.FlowQuery{Flows: junk(), Service: rng.Uint64()},
+			messenger.FlowAnswer{ID: rng.Uint32N(3), Targets: targets, Lines: junk()},
+			messenger.Digest{Service: m.services[0].hash, Version: m.version(m.services[0]), Phase: messenger.Phase(rng.IntN(8)), Targets: targets, Groups: junk()},
+			messenger.DigestAck{Stream: rng.Uint64(), Part: uint16(rng.Uint32())},
+			messenger.SilenceQuery{Flows: junk()},
+			messenger.SilenceAnswer{Flows: junk()},
+		} {
+			m.Step(n.now, MessageReceived{From: "entry-1", Message: message})
+		}
+	}
+	for range 1000 {
+		d := m.Decide(n.now, Packet{Flow: rng.Uint64(), Flags: FlagSYN})
+		if d.Action != ActionForward || m.GetBackend(d.Backend).Service != services[0] {
+			t.Fatalf("after malformed messages: %+v", d)
+		}
+	}
+}
--- a/entry/services/placer/digest.go
+++ b/entry/services/placer/digest.go
@@ -113,8 +113,12 @@
 		if i >= len(part.Targets) || bucket >= tabler.Buckets || len(groups) < 4*count {
 			return
 		}
+		target, ok := m.internHash(part.Targets[i])
+		if !ok {
+			return
+		}
 		line := digestLine{
-			key: uint64(bucket), target: m.internHash(part.Targets[i]),
+			key: uint64(bucket), target: target,
 			isUDP: position&udpBit != 0, isFormer: count == 0,
 		}
 		if line.isFormer {
--- a/entry/services/placer/machine.go
+++ b/entry/services/placer/machine.go
@@ -239,15 +239,25 @@
 	return hasher.Pair(hasher.String(id.Service), hasher.String(id.Host))
 }
 
+// maxNamed bounds the backend servers that messages name without a record.
+const maxNamed = 1 << 16
+
 // internHash returns the index of a backend server that a message names, even if
-// its record has not come yet.
-func (m *Machine) internHash(hash uint64) uint32 {
-	i, ok := m.backendByHash[hash]
-	if !ok {
-		i = uint32(len(m.backends))
-		m.backends = append(m.backends, backend{hash: hash})
-		m.backendByHash[hash] = i
+// its record has not come yet. It returns false if there are too many.
+func (m *Machine) internHash(hash uint64) (uint32, bool) {
+	if i, ok := m.backendByHash[hash]; ok {
+		return i, true
+	}
+	if len(m.backends) >= maxNamed {
+		return 0, false
 	}
+	return m.addBackend(hash), true
+}
+
+func (m *Machine) addBackend(hash uint64) uint32 {
+	i := uint32(len(m.backends))
+	m.backends = append(m.backends, backend{hash: hash})
+	m.backendByHash[hash] = i
 	return i
 }
 
@@ -265,7 +275,7 @@
 }
 
 // burstSeconds is the time whose unused budget may be spent at once.
-const burstSeconds = 2
+const burstSeconds = 1
 
 func newTokens(rate int, now time.Time) bucketOfTokens {
 	return bucketOfTokens{rate: float64(rate), tokens: float64(rate) * burstSeconds, at: now}
--- a/entry/services/placer/placement.go
+++ b/entry/services/placer/placement.go
@@ -107,8 +107,13 @@
 		m.nextPeer = (m.nextPeer + 1) % len(m.entries)
 		i := uint16(m.nextPeer)
 		e := &m.entries[i]
+		delay := placementDelay
+		if m.mode == modeLeaving {
+			// The process may end soon.
+			delay = 0
+		}
 		waiting := len(e.copies) + len(e.hints)
-		if waiting == 0 || (waiting < linesPerMessage && m.now.Sub(e.queuedAt) < placementDelay) {
+		if waiting == 0 || (waiting < linesPerMessage && m.now.Sub(e.queuedAt) < delay) {
 			continue
 		}
 		if !m.placementTokens.has(m.now) {
--- a/entry/services/placer/view.go
+++ b/entry/services/placer/view.go
@@ -151,7 +151,11 @@
 
 func (m *Machine) changeRecord(record announcer.Record) uint16 {
 	svc := m.internService(record.Service)
-	i := m.internHash(hashBackend(record.ID))
+	hash := hashBackend(record.ID)
+	i, ok := m.backendByHash[hash]
+	if !ok {
+		i = m.addBackend(hash)
+	}
 	b := &m.backends[i]
 	b.id, b.service, b.record = record.ID, svc.index, record
 	b.isTakenOut = m.catalog.IsTakenOut(record.DataCentre)
