Refuse announcements before the entry has joined

Without the records, a known backend server looked new and started its ramp again. All messages now count against the budget.

--- a/entry/routers/announcements/announcements.go
+++ b/entry/routers/announcements/announcements.go
@@ -116,6 +116,9 @@
 	case err != nil:
 		w.Header().Set("Retry-After", "1")
 		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonBusy, Detail: err.Error()})
+	case answer.NotJoined:
+		w.Header().Set("Retry-After", "1")
+		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonNotJoined, Detail: "this entry does not know the records yet; use another one"})
 	case answer.Stale:
 		h.refuse(w, problem{Status: http.StatusConflict, Reason: reasonStale, Detail: "a later announcement is already known"})
 	case answer.AddressUser != announcer.ID{}:
--- a/entry/routers/announcements/announcements_test.go
+++ b/entry/routers/announcements/announcements_test.go
@@ -170,6 +170,7 @@
 	counters := reporter.NewCounters()
 	handler := func(f *fakeAnnouncer) http.Handler { return announcements.NewHandler(f, catalog, counters) }
 	requireProblem(t, handler(&fakeAnnouncer{answer: steward.Answered{Stale: true}}), put(path, body), 409, "stale")
+	requireProblem(t, handler(&fakeAnnouncer{answer: steward.Answered{NotJoined: true}}), put(path, body), 503, "not_joined")
 	taken := steward.Answered{AddressUser: announcer.ID{Service: "manifest-desk", Host: "host-9"}}
 	requireProblem(t, handler(&fakeAnnouncer{answer: taken}), put(path, body), 409, "address_in_use")
 	requireProblem(t, handler(&fakeAnnouncer{err: errors.New("busy")}), put(path, body), 503, "busy")
--- a/entry/routers/announcements/problem.go
+++ b/entry/routers/announcements/problem.go
@@ -20,13 +20,14 @@
 	reasonBody            reason = "body_invalid"
 	reasonDataCentre      reason = "data_centre_not_allowed"
 	reasonBusy            reason = "busy"
+	reasonNotJoined       reason = "not_joined"
 	reasonStale           reason = "stale"
 	reasonAddress         reason = "address_in_use"
 )
 
 var reasons = []reason{
 	reasonMethod, reasonPath, reasonNoConfiguration, reasonService, reasonCredentials, reasonToken, reasonMediaType,
-	reasonSize, reasonBody, reasonDataCentre, reasonBusy, reasonStale, reasonAddress,
+	reasonSize, reasonBody, reasonDataCentre, reasonBusy, reasonNotJoined, reasonStale, reasonAddress,
 }
 
 // Names of the counters; that of refusals is followed by the reason.
--- a/entry/services/gossiper/budget.go
+++ b/entry/services/gossiper/budget.go
@@ -8,6 +8,9 @@
 	// entry/routers/peers.
 	MessageOverhead = 260
 
+	// envelopeBytes is the size of an envelope with a probe and without rumours.
+	envelopeBytes = 45
+
 	// MaxRumourBytes bounds the rumours of one message.
 	MaxRumourBytes = 1200
 
@@ -19,8 +22,8 @@
 	messageBurst = 8
 )
 
-// budget bounds the traffic of rumours with two token buckets. Probes and their
-// answers are always sent, and leave fewer tokens for rumours.
+// budget bounds the traffic with two token buckets. Probes, their answers and
+// exchanges of state are always sent, and leave fewer tokens for rumours.
 type budget struct {
 	last     time.Time
 	bytes    float64
@@ -48,7 +51,7 @@
 
 // room returns how many bytes of rumours a message may carry.
 func (b *budget) room() int {
-	return max(0, min(MaxRumourBytes, int(b.bytes)-MessageOverhead))
+	return max(0, min(MaxRumourBytes, int(b.bytes)-MessageOverhead-envelopeBytes))
 }
 
 // mayGossip reports whether a message that only carries rumours may be sent.
--- a/entry/services/gossiper/member.go
+++ b/entry/services/gossiper/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -126,7 +127,7 @@
 // refute answers what is said of this entry itself: a state other than its own,
 // or an incarnation of an earlier process, is overruled by a higher incarnation.
 func (m *Machine) refute(heard messenger.Member) {
-	if m.left || heard.Incarnation < m.self.Incarnation {
+	if m.left || heard.Incarnation < m.self.Incarnation || heard.Incarnation == math.MaxUint64 {
 		return
 	}
 	if heard.Incarnation == m.self.Incarnation && heard.State <= m.self.State {
--- a/entry/services/gossiper/rumour.go
+++ b/entry/services/gossiper/rumour.go
@@ -242,13 +242,26 @@
 func (m *Machine) send(name string, to netip.AddrPort, messages ...messenger.Message) {
 	m.budget.refill(m.now)
 	rumours, size := m.collectRumours(name)
-	m.budget.take(MessageOverhead + size)
 	m.counts.RumourBytesSent += uint64(size)
-	m.sendPlain(to, append(messages, rumours)...)
+	m.post(to, size, append(messages, rumours))
 }
 
-// sendPlain sends messages without rumours and outside the budget.
+// sendPlain sends messages without rumours. They are sent without regard to the
+// budget, but leave less of it for rumours.
 func (m *Machine) sendPlain(to netip.AddrPort, messages ...messenger.Message) {
+	size := 0
+	for _, msg := range messages {
+		switch msg := msg.(type) {
+		case messenger.SyncBuckets, messenger.SyncPull, messenger.SyncItems:
+			size += encodedSize(msg)
+		}
+	}
+	m.budget.refill(m.now)
+	m.post(to, size, messages)
+}
+
+func (m *Machine) post(to netip.AddrPort, size int, messages []messenger.Message) {
+	m.budget.take(MessageOverhead + envelopeBytes + size)
 	m.counts.MessagesSent++
 	m.emit(Send{To: to, Envelope: messenger.Envelope{From: m.self.Name, Incarnation: m.self.Incarnation, Messages: messages}})
 }
--- a/entry/services/steward/input.go
+++ b/entry/services/steward/input.go
@@ -78,6 +78,9 @@
 
 // Answered answers Announced.
 type Answered struct {
+	// NotJoined is set if this entry does not know the records yet. Another entry
+	// should be asked.
+	NotJoined bool
 	// Stale is set if a later announcement was already known.
 	Stale bool
 	// AddressUser is set if another backend server in force has the address.
--- a/entry/services/steward/steward.go
+++ b/entry/services/steward/steward.go
@@ -28,6 +28,7 @@
 	gossiper   *gossiper.Machine
 	leaser     *leaser.Machine
 	configurer *configurer.Machine
+	joined     bool
 	out        []Output
 }
 
@@ -61,6 +62,12 @@
 	case Received:
 		m.receive(in.Envelope)
 	case Announced:
+		if !m.joined {
+			// Without the records a known backend server would look new, and
+			// would start its ramp again.
+			m.emit(Answered{NotJoined: true})
+			break
+		}
 		m.lease(leaser.Announced{Announcement: in.Announcement})
 	case Observed:
 		m.lease(leaser.Observed{ID: in.ID, Responses: in.Responses, Failures: in.Failures})
@@ -121,6 +128,7 @@
 		case gossiper.SummaryHeard:
 			m.emit(SummaryHeard{Summary: out.Summary})
 		case gossiper.Joined:
+			m.joined = true
 			m.emit(Joined{})
 		case gossiper.Thawed:
 			m.emit(Thawed{Gap: out.Gap})
@@ -145,7 +153,7 @@
 				From: m.Self().Name, Incarnation: m.Self().Incarnation, Messages: []messenger.Message{out.Batch},
 			}})
 		case leaser.Answered:
-			m.emit(Answered(out))
+			m.emit(Answered{Stale: out.Stale, AddressUser: out.AddressUser})
 		}
 	}
 }
