--- a/entry/routers/peers/service.go
+++ b/entry/routers/peers/service.go
@@ -235,6 +235,9 @@
 
 // deliver takes an envelope from a peer.
 func (s *Service) deliver(ctx context.Context, env *messenger.Envelope) (*messenger.DeliverAnswer, error) {
+	if env.From == "" {
+		return nil, status.Error(codes.InvalidArgument, "the envelope names no sender")
+	}
 	if err := s.authorize(ctx, env.From); err != nil {
 		return nil, err
 	}
@@ -268,7 +271,7 @@
 }
 
 // authorize checks that a peer with a certificate is the entry that it says, and
-// that the configuration declares it, once there is one. Certificates of backend
+// that the configuration declares it, once it declares any entries. Certificates of backend
 // servers may come from the same authority.
 func (s *Service) authorize(ctx context.Context, from string) error {
 	if s.options.TLS == nil {
@@ -279,7 +282,7 @@
 		return status.Errorf(codes.PermissionDenied, "certificate is for %q, not for %q", name, from)
 	}
 	catalog := s.View().Catalog
-	if catalog == nil || slices.ContainsFunc(catalog.Entries, func(e cataloger.Member) bool { return e.Name == name }) {
+	if catalog == nil || len(catalog.Entries) == 0 || slices.ContainsFunc(catalog.Entries, func(e cataloger.Member) bool { return e.Name == name }) {
 		return nil
 	}
 	return status.Errorf(codes.PermissionDenied, "the configuration does not declare entry %q", name)
--- a/entry/routers/watchers/watchers.go
+++ b/entry/routers/watchers/watchers.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// authorize checks that a caller with a certificate is a declared gateway.
+// authorize checks that a caller with a certificate is a declared gateway, once
+// the configuration declares any.
 func (o Options) authorize(ctx context.Context, gateway string) error {
 	if !o.WithCertificates {
 		return nil
@@ -77,7 +78,7 @@
 		return status.Errorf(codes.PermissionDenied, "certificate is for %q, not for %q", name, gateway)
 	}
 	catalog := o.View().Catalog
-	if catalog == nil || slices.ContainsFunc(catalog.Gateways, func(g cataloger.Member) bool { return g.Name == name }) {
+	if catalog == nil || len(catalog.Gateways) == 0 || slices.ContainsFunc(catalog.Gateways, func(g cataloger.Member) bool { return g.Name == name }) {
 		return nil
 	}
 	return status.Errorf(codes.PermissionDenied, "the configuration does not declare gateway %q", name)
