Refuse announcements whose sequence was used for something else

An announcement that changed a field without a new sequence was answered with 200 and had no effect.

--- a/entry/services/leaser/leaser.go
+++ b/entry/services/leaser/leaser.go
@@ -183,6 +183,8 @@
 		m.applyNew(a)
 	case a.Incarnation < known.Incarnation,
 		a.Incarnation == known.Incarnation && a.Sequence < known.Sequence,
+		// A resend gets the first answer, but only if it still is in force.
+		a.Incarnation == known.Incarnation && a.Sequence == known.Sequence && (known.Lapsed || a != known.Announcement),
 		held != nil && a.Incarnation == held.incarnation && a.Sequence < held.sequence:
 		m.counts.Stale++
 		m.emit(Answered{Stale: true})
--- a/entry/services/leaser/leaser_test.go
+++ b/entry/services/leaser/leaser_test.go
@@ -203,8 +203,13 @@
 	}
 	h.do(Announced{Announcement: announcement(9, announcer.StateDraining)})
 	require.False(t, h.answer.Stale, "a resend gets the first answer")
+	h.do(Announced{Announcement: announcement(9, announcer.StateReady)})
+	require.True(t, h.answer.Stale, "a change needs a new sequence")
 	require.Empty(t, h.decided)
 	require.Equal(t, announcer.StateDraining, h.shown[older.ID].State)
+	h.run(DefaultLease+grace+time.Second, nil)
+	h.do(Announced{Announcement: announcement(9, announcer.StateDraining)})
+	require.True(t, h.answer.Stale, "a resend does not revive a lapsed record")
 }
 
 // Guards against a departure that waits for the holder, and against renewals that
