--- a/entry/services/steward/steward.go
+++ b/entry/services/steward/steward.go
@@ -28,6 +28,7 @@
 	gossiper   *gossiper.Machine
 	leaser     *leaser.Machine
 	configurer *configurer.Machine
+	joined     bool
 	out        []Output
 }
 
@@ -61,6 +62,12 @@
 	case Received:
 		m.receive(in.Envelope)
 	case Announced:
+		if !m.joined {
+			// Without the records a known backend server would look new, and
+			// would start its ramp again.
+			m.emit(Answered{NotJoined: true})
+			break
+		}
 		m.lease(leaser.Announced{Announcement: in.Announcement})
 	case Observed:
 		m.lease(leaser.Observed{ID: in.ID, Responses: in.Responses, Failures: in.Failures})
@@ -68,6 +75,10 @@
 		m.configure(configurer.Polled{Catalog: in.Catalog, Failed: in.Failed})
 	case Fetched:
 		m.configure(configurer.Fetched{Address: in.Address, Catalog: in.Catalog, Failed: in.Failed})
+	case Undelivered:
+		for _, batch := range batches(in.Envelope) {
+			m.lease(leaser.BatchFailed{Batch: batch})
+		}
 	case Leave:
 		m.gossip(gossiper.Leave{})
 	}
@@ -94,11 +105,19 @@
 // receive splits an envelope between the parts.
 func (m *Machine) receive(env messenger.Envelope) {
 	m.gossip(gossiper.Received{Envelope: env})
+	for _, batch := range batches(env) {
+		m.lease(leaser.BatchReceived{Batch: batch})
+	}
+}
+
+func batches(env messenger.Envelope) []messenger.RenewalBatch {
+	var found []messenger.RenewalBatch
 	for _, msg := range env.Messages {
 		if batch, ok := msg.(messenger.RenewalBatch); ok {
-			m.lease(leaser.BatchReceived{Batch: batch})
+			found = append(found, batch)
 		}
 	}
+	return found
 }
 
 func (m *Machine) gossip(in gossiper.Input) {
@@ -121,6 +140,7 @@
 		case gossiper.SummaryHeard:
 			m.emit(SummaryHeard{Summary: out.Summary})
 		case gossiper.Joined:
+			m.joined = true
 			m.emit(Joined{})
 		case gossiper.Thawed:
 			m.emit(Thawed{Gap: out.Gap})
@@ -145,7 +165,7 @@
 				From: m.Self().Name, Incarnation: m.Self().Incarnation, Messages: []messenger.Message{out.Batch},
 			}})
 		case leaser.Answered:
-			m.emit(Answered(out))
+			m.emit(Answered{Stale: out.Stale, AddressUser: out.AddressUser})
 		}
 	}
 }
