Give up a floor that no log can reach and elect sooner after a start

They now verify again after 10 election timeouts. Change: after the verification the first election does not wait for a whole timeout, as no leader was heard during the hold time.

--- a/control/services/replicator/machine_test.go
+++ b/control/services/replicator/machine_test.go
@@ -148,3 +148,40 @@
 	require.Equal(t, 2, lead.machine.membership().Voters())
 	require.Empty(t, w.problems)
 }
+
+// Guards against replicas that wait for ever for entries of their floor which
+// were never committed and whose only copy is lost (seed 4686 before the fix).
+func TestFloorIsGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newSettledWorld(t)
+	w.settings.TrustDiskAfter = 0
+	for _, n := range w.nodes {
+		w.kill(n)
+		w.start(n)
+		n.machine.verification = verification{done: true, startedAt: w.clock(n), floorIndex: 999, floorTerm: 999}
+	}
+	w.run(5 * time.Second)
+	require.Nil(t, w.leader())
+	require.True(t, w.settle(time.Minute), w.describe())
+}
+
+// Guards against answers that are answered for ever: while too much is on its way
+// to a replica, an answer must not cause another request.
+func TestFullWindowEndsExchange(t *testing.T) {
+	t.Parallel()
+	w := newSettledWorld(t)
+	lead, n := w.leader(), w.follower()
+	p := lead.machine.leading.progress[n.disk.id]
+	for range maxInFlight + 10 {
+		lead.machine.appendEntries([]storer.Entry{{Index: lead.machine.log.last() + 1, Term: lead.machine.term, Kind: storer.EntryEmpty}})
+	}
+	lead.machine.out = nil
+	p.next = p.match + maxInFlight + 1
+	resp := &AppendResponse{Term: lead.machine.term, Echo: Echo{Round: p.round, SentAt: p.sentAt, Session: p.session, Verified: true}, Success: true, Match: p.match}
+	outputs := func() int {
+		return len(lead.machine.Step(Receive{Now: w.clock(lead), Envelope: Envelope{From: n.disk.id, Message: resp}}))
+	}
+	require.Zero(t, outputs())
+	resp.Match += 100
+	require.Positive(t, outputs())
+}
--- a/control/services/replicator/verification.go
+++ b/control/services/replicator/verification.go
@@ -23,6 +23,10 @@
 // count for one election timeout; the rest allows for differing clocks.
 const holdFactor = 1.25
 
+// floorPatience times the election timeout is how long the log may stay behind
+// the floor. A leader that has those entries is elected and sends them sooner.
+const floorPatience = 10
+
 type verification struct {
 	done bool
 	// startedAt is when the verification began, or ended if it is done.
@@ -77,12 +81,13 @@
 	m.reviewVerification()
 }
 
-// reviewFloor begins a new verification if the log stays behind the floor, whose
-// source may be lost for ever.
+// reviewFloor begins a new verification if the log stays behind the floor. The
+// entries of the floor were not committed if all who had them are gone, and then
+// no log could ever reach it.
 func (m *Machine) reviewFloor() {
 	v := &m.verification
-	limit := m.settings.TrustDiskAfter
-	if limit == 0 || m.role == RoleLeader || m.now.Sub(v.startedAt) < limit ||
+	patience := floorPatience * m.settings.ElectionTimeout
+	if m.role == RoleLeader || m.now.Sub(v.startedAt) < patience ||
 		!isBehind(m.log.last(), m.log.lastTerm(), v.floorIndex, v.floorTerm) {
 		return
 	}
@@ -144,5 +149,9 @@
 	if term == m.term && m.vote.IsZero() {
 		m.setTerm(term, voteBlocked)
 	}
-	m.resetElection()
+	// No leader was heard during the hold time, so the next election need not wait
+	// for a whole timeout. Replicas that started together still need the jitter.
+	if m.resetElection(); !m.hasLeader() {
+		m.electionAt = m.electionAt.Add(-m.settings.ElectionTimeout)
+	}
 }
