Keep the texts of plans and bound audit lines

Lines now have bounded fields and are cut at whole characters; plan ids and stored refusal messages are bounded. TestOverlongRequestsCanBeRestored fails without either bound.

JSON output of rwctl has [] where it had null.

--- a/control/routers/operators/router.go
+++ b/control/routers/operators/router.go
@@ -63,6 +63,7 @@
 	transporter.Handle(operators, "GetStatus", r.getStatus)
 	transporter.Handle(operators, "ListPlans", r.listPlans)
 	transporter.Handle(operators, "ListAudit", r.listAudit)
+	transporter.Handle(operators, "GetPlanText", r.getPlanText)
 	configuration := transporter.NewService(operator.ConfigurationServiceName)
 	transporter.Handle(configuration, "Fetch", r.fetch)
 	load := transporter.NewService(observer.ServiceName)
@@ -176,6 +177,18 @@
 	return &operator.AuditPage{Lines: lines, Head: head}, nil
 }
 
+func (r *Router) getPlanText(ctx context.Context, req *operator.GetPlanTextRequest) (*operator.PlanText, error) {
+	_, redirect, err := r.admit(ctx)
+	if err != nil || redirect != nil {
+		return redirected(redirect, func(to operator.Redirect) operator.PlanText { return operator.PlanText{Redirect: to} }), err
+	}
+	text, kept, err := r.planner.Machine().PlanText(req.Hash)
+	if err != nil {
+		return nil, status.Error(codes.DataLoss, err.Error())
+	}
+	return &operator.PlanText{Kept: kept, Text: text}, nil
+}
+
 // wait returns once done holds, or after the duration, or at once if too many
 // callers wait already.
 func (r *Router) wait(ctx context.Context, duration time.Duration, done func() bool) {
--- a/control/services/auditor/trail.go
+++ b/control/services/auditor/trail.go
@@ -26,8 +26,12 @@
 // below 4 KiB.
 const maxSegmentBytes = segmentSize * 4096
 
-// MaxTextLength bounds the text of a line, in bytes.
-const MaxTextLength = 2048
+// Bounds of the fields of a line, in bytes. With them a segment stays below
+// maxSegmentBytes; a longer one could not be read after a restart.
+const (
+	MaxTextLength = 2048
+	maxNameLength = 256
+)
 
 // Trail is the audit trail. The zero value is empty. It is not safe for
 // concurrent use.
@@ -47,13 +51,14 @@
 }
 
 // Append adds the line with the next sequence and the hash of the line before.
-// Overlong texts are cut.
+// Overlong fields are cut.
 func (t *Trail) Append(line auditor.Line) {
 	line.Sequence = t.head.Sequence + 1
 	line.Previous = t.head.Hash
-	if len(line.Text) > MaxTextLength {
-		line.Text = line.Text[:MaxTextLength]
-	}
+	line.Text = auditor.CutText(line.Text, MaxTextLength)
+	line.Operator = auditor.CutText(line.Operator, maxNameLength)
+	line.Request = auditor.CutText(line.Request, maxNameLength)
+	line.Plan = auditor.CutText(line.Plan, maxNameLength)
 	t.open = append(t.open, line)
 	t.head = auditor.Head{Sequence: line.Sequence, Hash: line.Hash()}
 	if len(t.open) == segmentSize {
--- a/control/services/planner/create.go
+++ b/control/services/planner/create.go
@@ -1,10 +1,10 @@
 package planner
 
 import (
-	"crypto/sha256"
 	"fmt"
 	"time"
 
+	trail "github.com/redwingledge/redwingledge/control/services/auditor"
 	"github.com/redwingledge/redwingledge/shared/models/auditor"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/models/observer"
@@ -71,11 +71,11 @@
 	}, nil
 }
 
-// showPlan keeps the plan and records the hash of its text.
+// showPlan keeps the plan and its text, and records the hash of the text.
 func (s *state) showPlan(request Request, r record) {
 	s.Plans = append(s.Plans, r)
 	s.audit(auditor.Line{
 		Time: request.Now, Operator: request.Operator, Event: auditor.EventPlanShown, Request: request.ID, Plan: r.Plan.ID,
-		Text: fmt.Sprintf("%s, text SHA-256 %x", r.Plan.Intent, sha256.Sum256([]byte(r.Plan.Text()))),
+		Text: auditor.FormatPlanShown(r.Plan.Intent, s.keepText(r.Plan.Text()), trail.MaxTextLength),
 	})
 }
--- a/control/services/planner/service.go
+++ b/control/services/planner/service.go
@@ -49,14 +49,14 @@
 // the answer. The error is an ErrNotLeader if this replica does not lead; after any other error the plan may
 // have been created, and a resend gets the answer.
 func (s *Service) CreatePlan(ctx context.Context, who Identity, req operator.CreatePlanRequest) (operator.Answer, error) {
-	intent, err := req.Intent.Unwrap()
-	if err != nil {
-		return s.refuse(ctx, who, req.RequestID, operator.ReasonInvalid, err.Error())
-	}
 	request, err := s.newRequest(who, req.RequestID, req)
 	if err != nil {
 		return operator.Answer{}, err
 	}
+	intent, err := req.Intent.Unwrap()
+	if err != nil {
+		return s.refuse(ctx, who, req.RequestID, operator.ReasonInvalid, err.Error())
+	}
 	command := CreatePlan{Request: request, BaseVersion: req.BaseVersion, Intent: req.Intent}
 	if apply, ok := intent.(operator.Apply); ok {
 		declared, err := cataloger.Parse(apply.Declaration)
@@ -79,6 +79,9 @@
 	if err != nil {
 		return operator.Answer{}, err
 	}
+	if len(req.PlanID) > operator.MaxPlanIDLength {
+		return s.refuse(ctx, who, req.RequestID, operator.ReasonNoPlan, fmt.Sprintf("a plan id has at most %d bytes", operator.MaxPlanIDLength))
+	}
 	command := ConfirmPlan{Request: request, PlanID: req.PlanID}
 	if intent, declared, ok := s.machine.intentOf(req.PlanID); ok {
 		command.Load = selectLoad(s.Summarise(), s.machine.Catalog(), intent, declared)
--- a/control/services/planner/state.go
+++ b/control/services/planner/state.go
@@ -32,6 +32,9 @@
 	minCompressed = 512
 	// maxAnswerBytes bounds a stored answer when it is read.
 	maxAnswerBytes = 16 << 20
+	// maxMessageBytes bounds the message of a stored refusal, which may quote a
+	// name from the request.
+	maxMessageBytes = 16 << 10
 )
 
 // stateFormat is the version of the snapshot encoding.
@@ -47,6 +50,8 @@
 	// Answers are in the order in which they were given.
 	Answers []storedAnswer `cbor:"answers"`
 	Trail   trail.Stored   `cbor:"trail"`
+	// Texts are those of the newest plans, the oldest first.
+	Texts []planText `cbor:"texts"`
 
 	trail *trail.Trail
 	// byRequest finds answers by their key.
@@ -119,6 +124,9 @@
 		return data
 	}
 	answer := carryOut()
+	if answer.Refusal != nil {
+		answer.Refusal.Message = auditor.CutText(answer.Refusal.Message, maxMessageBytes)
+	}
 	data := encodeAnswer(answer)
 	if answer.Refusal != nil && answer.Refusal.Reason == operator.ReasonRole {
 		return data
--- a/rwctl/routers/commander/commander.go
+++ b/rwctl/routers/commander/commander.go
@@ -41,7 +41,7 @@
 	Status         statusCommand         `cmd:"" help:"Show the state of the system."`
 	Plans          plansCommand          `cmd:"" help:"List the open plans."`
 	Watch          watchCommand          `cmd:"" help:"Show each new line of the audit trail until interrupted."`
-	Audit          auditCommand          `cmd:"" help:"Show or check the audit trail."`
+	Audit          auditCommand          `cmd:"" help:"Show or check the audit trail, or show a plan as the operator saw it."`
 }
 
 // session is what a command works with.
@@ -109,7 +109,7 @@
 		return ExitNoAnswer
 	case requester.IsErrNotAdmitted(err):
 		return ExitRefused
-	case errors.As(err, &broken):
+	case errors.As(err, &broken), auditor.IsErrPlanTextChanged(err):
 		return ExitTampered
 	default:
 		return ExitFault
--- /dev/null
+++ b/rwctl/routers/commander/plan_text.go
@@ -0,0 +1,53 @@
+package commander
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/redwingledge/redwingledge/rwctl/services/requester"
+	"github.com/redwingledge/redwingledge/shared/models/auditor"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+// ErrPlanNotShown reports a plan that the audit trail does not have.
+type ErrPlanNotShown struct{ Plan string }
+
+// Error returns the message of the error.
+func (e ErrPlanNotShown) Error() string {
+	return fmt.Sprintf("the audit trail has no plan %q", e.Plan)
+}
+
+// IsErrPlanNotShown reports whether err is an ErrPlanNotShown.
+func IsErrPlanNotShown(err error) bool {
+	var target ErrPlanNotShown
+	return errors.As(err, &target)
+}
+
+// showPlan shows the newest plan with the id as it was shown. It computes the
+// hashes of the trail and of the text itself.
+func (c *auditCommand) showPlan(s *session) error {
+	var shown auditor.Line
+	var hash auditor.Hash
+	if _, err := s.walkAudit(func(line auditor.Line, _ auditor.Head) error {
+		if named, ok := auditor.ParsePlanShown(line); ok && line.Plan == c.Plan {
+			shown, hash = line, named
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	if shown.Sequence == 0 {
+		return ErrPlanNotShown{Plan: c.Plan}
+	}
+	text, err := requester.Call[operator.GetPlanTextRequest, operator.PlanText](s.ctx, s.requester, operator.MethodGetPlanText, operator.GetPlanTextRequest{Hash: hash}, 0)
+	if err != nil {
+		return err
+	}
+	if got := auditor.HashPlanText(text.Text); text.Kept && got != hash {
+		return auditor.ErrPlanTextChanged{Plan: c.Plan, Sequence: shown.Sequence, Want: hash, Got: got}
+	}
+	if !text.Kept {
+		s.code = ExitFault
+	}
+	return s.presenter.WritePlanText(shown, hash, text)
+}
--- a/rwctl/routers/commander/view.go
+++ b/rwctl/routers/commander/view.go
@@ -81,6 +81,7 @@
 type auditCommand struct {
 	Check  bool   `name:"check" help:"Check the hash chain of the whole trail instead of showing it."`
 	Expect string `name:"expect" placeholder:"SEQUENCE:HASH" help:"With --check: a head that an earlier check printed and that must still be part of the trail."`
+	Plan   string `name:"plan" placeholder:"ID" help:"Show a plan as the operator saw it, checked against the hash in the audit trail."`
 	After  uint64 `name:"after" placeholder:"N" help:"Show the lines after this one."`
 	Limit  int    `name:"limit" placeholder:"N" help:"Show at most this many lines; 0 shows all."`
 }
@@ -93,6 +94,9 @@
 	if c.Check && (c.After != 0 || c.Limit != 0) {
 		return errors.New("--check: always checks the whole trail; leave --after and --limit out")
 	}
+	if c.Plan != "" && (c.Check || c.After != 0 || c.Limit != 0) {
+		return errors.New("--plan: always checks the whole trail; leave --check, --after and --limit out")
+	}
 	if c.Limit < 0 {
 		return errors.New("--limit: must not be negative")
 	}
@@ -104,6 +108,9 @@
 	if c.Check {
 		return c.check(s)
 	}
+	if c.Plan != "" {
+		return c.showPlan(s)
+	}
 	left := c.Limit
 	for after := c.After; ; {
 		page, err := s.auditPage(after, left)
@@ -132,29 +139,44 @@
 			return fmt.Errorf("--expect: %w", err)
 		}
 	}
+	head, err := s.walkAudit(func(_ auditor.Line, head auditor.Head) error {
+		if head.Sequence == expected.Sequence && head != expected {
+			return auditor.ErrChainBroken{Sequence: head.Sequence, Reason: fmt.Sprintf("the line has the hash %s and not the expected one", head.Hash)}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if head.Sequence < expected.Sequence {
+		return auditor.ErrChainBroken{Sequence: head.Sequence + 1, Reason: fmt.Sprintf("the trail ends before the expected line %d", expected.Sequence)}
+	}
+	return s.presenter.WriteCheck(head)
+}
+
+// walkAudit fetches the whole trail and computes all hashes. It calls visit for
+// each line with the head after it.
+func (s *session) walkAudit(visit func(auditor.Line, auditor.Head) error) (auditor.Head, error) {
 	var head auditor.Head
 	for {
 		page, err := s.auditPage(head.Sequence, 0)
 		if err != nil {
-			return err
+			return head, err
 		}
 		for _, line := range page.Lines {
 			if head, err = head.Next(line); err != nil {
-				return err
+				return head, err
 			}
-			if head.Sequence == expected.Sequence && head != expected {
-				return auditor.ErrChainBroken{Sequence: head.Sequence, Reason: fmt.Sprintf("the line has the hash %s and not the expected one", head.Hash)}
+			if err := visit(line, head); err != nil {
+				return head, err
 			}
 		}
 		if len(page.Lines) > 0 {
 			continue
 		}
 		if page.Head != head {
-			return auditor.ErrChainBroken{Sequence: head.Sequence, Reason: fmt.Sprintf("control names the head %s, and the lines end with %s", page.Head, head)}
-		}
-		if head.Sequence < expected.Sequence {
-			return auditor.ErrChainBroken{Sequence: head.Sequence + 1, Reason: fmt.Sprintf("the trail ends before the expected line %d", expected.Sequence)}
+			return head, auditor.ErrChainBroken{Sequence: head.Sequence, Reason: fmt.Sprintf("control names the head %s, and the lines end with %s", page.Head, head)}
 		}
-		return s.presenter.WriteCheck(head)
+		return head, nil
 	}
 }
--- /dev/null
+++ b/rwctl/services/presenter/list.go
@@ -0,0 +1,35 @@
+package presenter
+
+import "reflect"
+
+// withEmptyLists returns a copy of v in which nil lists are empty, because
+// encoding/json writes nil lists as null.
+func withEmptyLists(v any) any {
+	c := reflect.New(reflect.TypeOf(v)).Elem()
+	c.Set(reflect.ValueOf(v))
+	fillLists(c)
+	return c.Interface()
+}
+
+func fillLists(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Slice:
+		if v.IsNil() && v.CanSet() {
+			v.Set(reflect.MakeSlice(v.Type(), 0, 0))
+		}
+		for i := range v.Len() {
+			fillLists(v.Index(i))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if v.Type().Field(i).IsExported() {
+				fillLists(v.Field(i))
+			}
+		}
+	case reflect.Pointer:
+		if !v.IsNil() {
+			fillLists(v.Elem())
+		}
+	default:
+	}
+}
--- a/rwctl/services/presenter/presenter.go
+++ b/rwctl/services/presenter/presenter.go
@@ -147,6 +147,29 @@
 	return p.writeText(fmt.Sprintf("The hash chain of %d lines is unbroken.\nKeep this head, and give it to a later check with --expect:\n  %s\n", head.Sequence, head))
 }
 
+// shown is the JSON form of a plan as it was shown.
+type shown struct {
+	Plan     string       `json:"plan"`
+	Sequence uint64       `json:"sequence"`
+	Hash     auditor.Hash `json:"sha256"`
+	Kept     bool         `json:"kept"`
+	// Matches tells that the text has the hash that the audit trail names.
+	Matches bool   `json:"matches"`
+	Text    string `json:"text,omitempty"`
+}
+
+// WritePlanText writes a plan as it was shown, whose text has the hash that the
+// line of the audit trail names, or tells that the text is no longer kept.
+func (p *Presenter) WritePlanText(line auditor.Line, hash auditor.Hash, text operator.PlanText) error {
+	if p.format == FormatJSON {
+		return p.writeJSON(shown{Plan: line.Plan, Sequence: line.Sequence, Hash: hash, Kept: text.Kept, Matches: text.Kept, Text: text.Text})
+	}
+	if !text.Kept {
+		return p.writeText(fmt.Sprintf("The text of plan %s is no longer kept. Line %d of the audit trail of %s names the SHA-256 %s.\n", line.Plan, line.Sequence, line.Time, hash))
+	}
+	return p.writeText(fmt.Sprintf("%s\nThis text was shown at %s. Its SHA-256 %s is the one in line %d of the audit trail.\n", text.Text, line.Time, hash, line.Sequence))
+}
+
 func (p *Presenter) writeTable(fill func(io.Writer)) error {
 	const padding = 2
 	w := tabwriter.NewWriter(p.w, 0, 0, padding, ' ', 0)
@@ -160,7 +183,7 @@
 func (p *Presenter) writeJSON(v any) error {
 	encoder := json.NewEncoder(p.w)
 	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(v); err != nil {
+	if err := encoder.Encode(withEmptyLists(v)); err != nil {
 		return fmt.Errorf("write the output: %w", err)
 	}
 	return nil
--- a/shared/models/operator/message.go
+++ b/shared/models/operator/message.go
@@ -19,6 +19,7 @@
 	MethodGetStatus   = "/" + ServiceName + "/GetStatus"
 	MethodListPlans   = "/" + ServiceName + "/ListPlans"
 	MethodListAudit   = "/" + ServiceName + "/ListAudit"
+	MethodGetPlanText = "/" + ServiceName + "/GetPlanText"
 
 	ConfigurationServiceName = "redwingledge.control.Configuration"
 	MethodFetch              = "/" + ConfigurationServiceName + "/Fetch"
@@ -28,6 +29,8 @@
 const (
 	// MaxRequestIDLength is in bytes.
 	MaxRequestIDLength = 64
+	// MaxPlanIDLength is in bytes.
+	MaxPlanIDLength = 64
 	// MaxWait bounds long polls.
 	MaxWait = 30 * time.Second
 	// MaxPage bounds the lines and plans of one answer.
@@ -155,6 +158,20 @@
 	Head  auditor.Head   `cbor:"head" json:"head"`
 }
 
+// GetPlanTextRequest asks for the text of a plan as it was shown.
+type GetPlanTextRequest struct {
+	// Hash is the SHA-256 of the text, as the audit trail names it.
+	Hash auditor.Hash `cbor:"hash" json:"hash"`
+}
+
+// PlanText answers GetPlanText.
+type PlanText struct {
+	Redirect
+	// Kept is false if the text is no longer kept, or never was.
+	Kept bool   `cbor:"kept" json:"kept"`
+	Text string `cbor:"text,omitempty" json:"text,omitempty"`
+}
+
 // FetchRequest asks for a configuration newer than Known. The answer waits for
 // one for at most Wait, which is at most MaxWait.
 type FetchRequest struct {
