Let a replacement of a control replica join, and test control as processes

The new package disturber runs three control processes behind relays on loopback with concurrent rwctl operators, and kills, freezes, empties, cuts off and delays replicas.

It found that replace-replica never took effect while the other replicas ran: they admit only the names of their own settings, so the replacement was refused (with TLS already by its certificate), and a replaced replica that ran on with its old settings would have joined again. Replicas now admit the names that the configuration lists, and no others once all listed ones are members.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -154,7 +154,8 @@
 	return nil
 }
 
-// startMembership removes replicas that the configuration no longer lists.
+// startMembership admits the replicas that the configuration lists and removes
+// those that it no longer lists.
 func startMembership(lc fx.Lifecycle, replica *driver.Driver, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ticks := clock.Subscribe("replica membership", membershipPeriod)
@@ -167,6 +168,7 @@
 					case <-ctx.Done():
 						return
 					case <-ticks.C:
+						replica.AdmitReplicas(adapter.FindAdmitted(replica.Status(), machine.Catalog()))
 						removeSurplus(ctx, replica, machine, counters, logger)
 					}
 				}
--- a/control/services/adapter/adapter.go
+++ b/control/services/adapter/adapter.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 
+	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/planner"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
@@ -74,6 +76,18 @@
 	return err
 }
 
+// FindAdmitted returns the names of the replicas that the configuration lists,
+// and whether no others may join. Others may while a listed replica is not a
+// member, so that a wrong list keeps no replica of the settings out.
+func FindAdmitted(status replicator.Status, catalog cataloger.Catalog) (names []string, only bool) {
+	only = len(catalog.Control) > 0
+	for _, listed := range catalog.Control {
+		names = append(names, listed.Name)
+		only = only && slices.ContainsFunc(status.Membership.Members, func(m storer.Member) bool { return m.Name == listed.Name })
+	}
+	return names, only
+}
+
 // FindSurplus returns the names of the replicas in the membership that the
 // configuration no longer lists. It returns none until every listed replica may
 // vote, so that a wrong list or a replacement that has not joined yet never costs
--- a/control/services/adapter/adapter_test.go
+++ b/control/services/adapter/adapter_test.go
@@ -11,6 +11,32 @@
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 )
 
+// Guards against a replacement that is never admitted, a replaced replica that
+// joins again, and a wrong list that keeps the replicas of the settings out.
+func TestFindAdmitted(t *testing.T) {
+	t.Parallel()
+	status := replicator.Status{Membership: storer.Membership{Members: []storer.Member{{Name: "a"}, {Name: "b"}}}}
+	for name, c := range map[string]struct {
+		listed []string
+		only   bool
+	}{
+		"no list":                    {nil, false},
+		"replacement has not joined": {[]string{"a", "c"}, false},
+		"all are members":            {[]string{"a", "b"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var catalog cataloger.Catalog
+			for _, name := range c.listed {
+				catalog.Control = append(catalog.Control, cataloger.Replica{Name: name})
+			}
+			names, only := adapter.FindAdmitted(status, catalog)
+			require.Equal(t, c.listed, names)
+			require.Equal(t, c.only, only)
+		})
+	}
+}
+
 // Guards against a declaration with wrong names, or a replacement that has not
 // joined yet, that costs the cluster a running replica.
 func TestFindSurplus(t *testing.T) {
--- a/control/services/driver/counting.go
+++ b/control/services/driver/counting.go
@@ -43,6 +43,7 @@
 	c.Func("replica_applied_index", ofStatus(func(s replicator.Status) any { return s.Applied }))
 	c.Func("replica_last_index", ofStatus(func(s replicator.Status) any { return s.LastIndex }))
 	c.Func("replica_snapshot_index", ofStatus(func(s replicator.Status) any { return s.SnapshotIndex }))
+	c.Func("replica_members", ofStatus(func(s replicator.Status) any { return len(s.Membership.Members) }))
 	c.Func("replica_voters", ofStatus(func(s replicator.Status) any { return s.Membership.Voters() }))
 	c.Func("replica_elections", ofCounts(func(n replicator.Counts) uint64 { return n.Elections }))
 	c.Func("replica_terms_led", ofCounts(func(n replicator.Counts) uint64 { return n.TermsLed }))
--- a/control/services/driver/delivering.go
+++ b/control/services/driver/delivering.go
@@ -51,8 +51,8 @@
 	return &Receipt{}, nil
 }
 
-// isReplica reports whether name is that of a replica in the settings or the
-// membership.
+// isReplica reports whether name is that of a replica in the settings, the
+// membership or the configuration.
 func (d *Driver) isReplica(name string) bool {
 	if slices.ContainsFunc(d.options.Settings.Peers, func(p replicator.Peer) bool { return p.Name == name }) {
 		return true
@@ -62,7 +62,9 @@
 			return true
 		}
 	}
-	return false
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Contains(d.admitted, name)
 }
 
 // send queues a message. A full queue drops it, as the network may.
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -79,6 +79,8 @@
 	stopped bool
 	waiting waiters
 	taken   *replicator.SnapshotTaken
+	// admitted are names of replicas beside those of the settings.
+	admitted []string
 
 	// senders belongs to the decider goroutine.
 	senders map[netip.AddrPort]*buffer.Ring[replicator.Envelope]
--- a/control/services/driver/proposing.go
+++ b/control/services/driver/proposing.go
@@ -103,6 +103,16 @@
 	return d.await(ctx, func(id uint64) replicator.Input { return replicator.Remove{ID: id, Name: name} }).err
 }
 
+// AdmitReplicas names the replicas that may join although they are not in the
+// settings. With only, no other name may join, except in the place of a member.
+func (d *Driver) AdmitReplicas(names []string, only bool) {
+	d.mu.Lock()
+	d.admitted = names
+	d.mu.Unlock()
+	// A full ring drops it; the caller repeats it.
+	_ = d.inputs.TryPush(replicator.Admit{Names: names, Only: only})
+}
+
 // ReadBarrier waits for all that is committed; see replicator.Proposer.
 func (d *Driver) ReadBarrier(ctx context.Context) error {
 	err := d.await(ctx, func(id uint64) replicator.Input { return replicator.Read{ID: id} }).err
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -52,6 +52,14 @@
 	Name string
 }
 
+// Admit names the replicas that may join although they are not in the settings.
+type Admit struct {
+	sealedInput
+	Names []string
+	// Only tells that no other name may join, except in the place of a member.
+	Only bool
+}
+
 // SnapshotTaken answers TakeSnapshot.
 type SnapshotTaken struct {
 	sealedInput
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -113,6 +113,7 @@
 	votes      map[storer.Identity]bool
 
 	verification verification
+	admitted     Admit
 	joining      joining
 	// addresses are those of recent senders, for answers to replicas that the
 	// membership lacks.
@@ -179,6 +180,8 @@
 	case Remove:
 		m.advance(in.Now)
 		m.remove(in)
+	case Admit:
+		m.admitted = in
 	case SnapshotTaken:
 		m.advance(in.Now)
 		m.compact(in)
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -56,7 +56,10 @@
 // mayJoin reports whether the name of a new replica is known and its earlier
 // identity, if any, is silent.
 func (m *Machine) mayJoin(joiner storer.Member) bool {
-	known := slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Name == joiner.Name })
+	known := slices.Contains(m.admitted.Names, joiner.Name)
+	if !m.admitted.Only {
+		known = known || slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Name == joiner.Name })
+	}
 	for _, member := range m.membership().Members {
 		if member.Name != joiner.Name {
 			continue
--- /dev/null
+++ b/demo/services/disturber/disturber_test.go
@@ -0,0 +1,314 @@
+package disturber_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/demo/services/disturber"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+const testTimeout = 2 * time.Minute
+
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+// runTests builds the programs once, without the race detector.
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "redwingledge")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	const prefix = "github.com/redwingledge/redwingledge/"
+	build := exec.Command("go", "build", "-o", folder, prefix+"control/cmd/control", prefix+"rwctl/cmd/rwctl")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(string(output))
+	}
+	programs = folder
+	return m.Run()
+}
+
+func start(t *testing.T) (context.Context, *disturber.Cluster) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	c, err := disturber.Start(ctx, programs, t.TempDir())
+	t.Cleanup(func() {
+		c.Stop()
+		for _, r := range c.Replicas {
+			if content, err := os.ReadFile(c.Folder + "/" + r.Name + ".log"); err == nil && t.Failed() {
+				t.Logf("%s:\n%s", r.Name, content)
+			}
+		}
+	})
+	require.NoError(t, err)
+	return ctx, c
+}
+
+// newRandom prints the seed, which DISTURBER_SEED sets.
+func newRandom(t *testing.T) (uint64, *rand.Rand) {
+	t.Helper()
+	seed := rand.Uint64()
+	if s := os.Getenv("DISTURBER_SEED"); s != "" {
+		var err error
+		seed, err = strconv.ParseUint(s, 10, 64)
+		require.NoError(t, err)
+	}
+	t.Logf("DISTURBER_SEED=%d", seed)
+	return seed, rand.New(rand.NewPCG(seed, 0))
+}
+
+// requireAudit asserts that the hash chain holds.
+func requireAudit(ctx context.Context, t *testing.T, c *disturber.Cluster) {
+	t.Helper()
+	_, _, err := c.Run(ctx, "audit", "--check")
+	require.NoError(t, err)
+}
+
+func plan(ctx context.Context, t *testing.T, c *disturber.Cluster, id string, args ...string) operator.Plan {
+	t.Helper()
+	answer, err := c.Operate(ctx, id, args...)
+	require.NoError(t, err)
+	require.Nil(t, answer.Refusal, "%+v", answer.Refusal)
+	return *answer.Plan
+}
+
+// change plans and confirms.
+func change(ctx context.Context, t *testing.T, c *disturber.Cluster, id string, args ...string) uint64 {
+	t.Helper()
+	answer, err := c.Operate(ctx, id+"-confirm", "confirm", plan(ctx, t, c, id, args...).ID)
+	require.NoError(t, err)
+	require.Nil(t, answer.Refusal, "%+v", answer.Refusal)
+	return answer.Version
+}
+
+// operate makes changes and reads the status until stop is closed.
+func operate(ctx context.Context, c *disturber.Cluster, h *disturber.History, client int, seed uint64, stop <-chan struct{}) error {
+	random := rand.New(rand.NewPCG(seed, uint64(client)))
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+		began := time.Now()
+		command := []string{"drain", "undrain"}[random.IntN(2)]
+		id := fmt.Sprintf("%d-%d", client, i)
+		created, err := c.Operate(ctx, id, command, fmt.Sprintf("manifest-desk/h%d", random.IntN(10)))
+		if err != nil {
+			return err
+		}
+		h.Add(client, began, disturber.Call{Version: created.Version})
+		if created.Refusal == nil {
+			began = time.Now()
+			answer, err := c.Operate(ctx, id+"-confirm", "confirm", created.Plan.ID)
+			if err != nil {
+				return err
+			}
+			call := disturber.Call{Version: answer.Version}
+			if answer.Refusal == nil {
+				call.Plan, call.Base = created.Plan.ID, created.Plan.BaseVersion
+			}
+			h.Add(client, began, call)
+		}
+		began = time.Now()
+		status, err := c.GetStatus(ctx)
+		if err != nil {
+			return err
+		}
+		h.Add(client, began, disturber.Call{Version: status.Version, Seen: status.LastChange.Plan})
+	}
+}
+
+// Guards against versions that are lost, made twice, read stale or taken back
+// while replicas are killed, frozen, emptied, cut off and delayed.
+func TestVersionsAreLinearizable(t *testing.T) {
+	ctx, c := start(t)
+	seed, random := newRandom(t)
+	status, err := c.GetStatus(ctx)
+	require.NoError(t, err)
+	first := disturber.Head{Version: status.Version, Plan: status.LastChange.Plan}
+	var h disturber.History
+	const operators = 4
+	stop, errs := make(chan struct{}), make([]error, operators)
+	var running sync.WaitGroup
+	for i := range operators {
+		running.Go(func() { errs[i] = operate(ctx, c, &h, i, seed, stop) })
+	}
+	var fault error
+	kinds := append(random.Perm(5), random.Perm(5)...)
+	for _, kind := range kinds {
+		var what string
+		if what, fault = c.Disturb(ctx, kind, random); fault != nil {
+			break
+		}
+		t.Log(what)
+	}
+	close(stop)
+	running.Wait()
+	require.NoError(t, fault)
+	for _, err := range errs {
+		require.NoError(t, err)
+	}
+	wins := 0
+	for _, call := range h.Calls() {
+		if call.Plan != "" {
+			wins++
+		}
+	}
+	t.Logf("%d calls, %d versions", len(h.Calls()), wins)
+	require.Positive(t, wins)
+	require.Empty(t, h.FindDoubleWinners())
+	require.True(t, h.IsLinearizable(first))
+	status, err = c.GetStatus(ctx)
+	require.NoError(t, err)
+	require.Equal(t, first.Version+uint64(wins), status.Version)
+	requireAudit(ctx, t, c)
+}
+
+// Guards against a checker that cannot fail.
+func TestWrongHistoriesAreFound(t *testing.T) {
+	t.Parallel()
+	tests := map[string][]disturber.Call{
+		"two winners":       {{Plan: "a", Base: 1, Version: 2}, {Plan: "b", Base: 1, Version: 2}},
+		"stale read":        {{Plan: "a", Base: 1, Version: 2}, {Version: 1}},
+		"reverted":          {{Plan: "a", Base: 1, Version: 2}, {Version: 2, Seen: "a"}, {Version: 1, Seen: "first"}},
+		"forgotten":         {{Plan: "a", Base: 1, Version: 2}, {Plan: "b", Base: 2, Version: 3}, {Version: 2, Seen: "a"}},
+		"replaced silently": {{Plan: "a", Base: 1, Version: 2}, {Version: 2, Seen: "b"}},
+		"skipped version":   {{Plan: "a", Base: 1, Version: 3}},
+	}
+	for name, calls := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var h disturber.History
+			for i, call := range calls {
+				began := time.Now()
+				time.Sleep(time.Millisecond)
+				h.Add(i, began, call)
+				time.Sleep(time.Millisecond)
+			}
+			require.False(t, h.IsLinearizable(disturber.Head{Version: 1, Plan: "first"}))
+			require.Equal(t, name == "two winners", len(h.FindDoubleWinners()) > 0)
+		})
+	}
+	var h disturber.History
+	began := time.Now()
+	h.Add(0, began, disturber.Call{Version: 1, Seen: "first"})
+	h.Add(1, began, disturber.Call{Plan: "a", Base: 1, Version: 2})
+	require.True(t, h.IsLinearizable(disturber.Head{Version: 1, Plan: "first"}))
+}
+
+// Guards against confirmed changes that restarts of all replicas forget.
+func TestRestartsForgetNothing(t *testing.T) {
+	ctx, c := start(t)
+	_, random := newRandom(t)
+	const changes, restarts = 300, 3
+	drained := make(map[string]bool)
+	for i := range changes {
+		host := fmt.Sprintf("h%d", random.IntN(50))
+		command := "drain"
+		if drained[host] {
+			command = "undrain"
+		}
+		require.Equal(t, uint64(i+2), change(ctx, t, c, fmt.Sprint(i), command, "manifest-desk/"+host))
+		drained[host] = !drained[host]
+		if i%(changes/restarts) != changes/restarts-1 {
+			continue
+		}
+		names := restartAll(t, c)
+		require.NoError(t, c.WaitSettled(ctx, names...))
+		status, err := c.GetStatus(ctx)
+		require.NoError(t, err)
+		require.Equal(t, uint64(i+2), status.Version)
+		got := make(map[string]bool)
+		for _, id := range status.Drained {
+			got[id.Host] = true
+		}
+		for host, is := range drained {
+			require.Equal(t, is, got[host], host)
+		}
+	}
+	requireAudit(ctx, t, c)
+}
+
+// restartAll kills all replicas before it starts any.
+func restartAll(t *testing.T, c *disturber.Cluster) []string {
+	t.Helper()
+	names := make([]string, 0, len(c.Replicas))
+	for _, r := range c.Replicas {
+		r.Kill()
+		names = append(names, r.Name)
+	}
+	for _, r := range c.Replicas {
+		require.NoError(t, c.StartReplica(r, names, false))
+	}
+	return names
+}
+
+// Guards against a second run, or another answer, after the leader that gave the
+// first answer is lost.
+func TestResendAfterLeaderChange(t *testing.T) {
+	ctx, c := start(t)
+	created := plan(ctx, t, c, "plan", "drain", "manifest-desk/h1")
+	confirmed, err := c.Operate(ctx, "confirm", "confirm", created.ID)
+	require.NoError(t, err)
+	require.Nil(t, confirmed.Refusal)
+	before, err := c.GetStatus(ctx)
+	require.NoError(t, err)
+	c.Get(before.Replica).Kill()
+	again, err := c.Operate(ctx, "confirm", "confirm", created.ID)
+	require.NoError(t, err)
+	require.Equal(t, confirmed, again)
+	require.Equal(t, created, plan(ctx, t, c, "plan", "drain", "manifest-desk/h1"))
+	after, err := c.GetStatus(ctx)
+	require.NoError(t, err)
+	require.NotEqual(t, before.Replica, after.Replica)
+	require.Equal(t, before.AuditHead, after.AuditHead, "a resend adds no line")
+}
+
+// Guards against a replacement that never takes part, and against a replaced
+// replica that stays or joins again: it runs on with its old settings.
+func TestReplacedReplicaIsGone(t *testing.T) {
+	ctx, c := start(t)
+	status, err := c.GetStatus(ctx)
+	require.NoError(t, err)
+	var old, kept string
+	for _, r := range c.Replicas {
+		switch {
+		case r.Name == status.Replica:
+		case old == "":
+			old = r.Name
+		default:
+			kept = r.Name
+		}
+	}
+	fresh, err := c.NewReplica()
+	require.NoError(t, err)
+	change(ctx, t, c, "replace", "replace-replica", old, fresh.Name, "--address", fresh.Address.String(),
+		"--operator-address", fresh.Operator.String(), "--data-centre", "kano-a")
+	members := []string{status.Replica, kept, fresh.Name}
+	require.NoError(t, c.StartReplica(fresh, members, false))
+	require.NoError(t, c.WaitSettled(ctx, members...))
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		for _, name := range members {
+			v, err := c.Get(name).Vars(ctx)
+			require.NoError(t, err)
+			require.Equal(t, len(members), v.Members, "the replaced replica joined again")
+		}
+	}
+	c.Get(old).Kill()
+	c.Get(kept).Kill()
+	change(ctx, t, c, "later", "drain", "manifest-desk/h1")
+}
--- /dev/null
+++ b/demo/services/disturber/operator.go
@@ -0,0 +1,77 @@
+package disturber
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+)
+
+// Exit codes of rwctl that Operate knows.
+const (
+	exitRefused  = 2
+	exitStale    = 3
+	exitNoAnswer = 4
+)
+
+// Run calls rwctl and returns its output and exit code.
+func (c *Cluster) Run(ctx context.Context, args ...string) ([]byte, int, error) {
+	addresses := make([]string, 0, len(c.Replicas))
+	for _, r := range c.Replicas {
+		addresses = append(addresses, r.Operator.String())
+	}
+	args = append([]string{"--control", strings.Join(addresses, ","), "--token-file", c.tokenFile(), "--timeout", "3s", "-o", "json"}, args...)
+	command := exec.CommandContext(ctx, filepath.Join(c.Programs, "rwctl"), args...)
+	var stdout, stderr bytes.Buffer
+	command.Stdout, command.Stderr = &stdout, &stderr
+	err := command.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return stdout.Bytes(), exit.ExitCode(), fmt.Errorf("rwctl %s: %w: %s", strings.Join(args, " "), err, stderr.String())
+	}
+	return stdout.Bytes(), 0, err
+}
+
+// Operate sends a request of an operator until it is answered, always with the
+// same request id.
+func (c *Cluster) Operate(ctx context.Context, requestID string, args ...string) (operator.Answer, error) {
+	args = append(args, "--request-id", requestID)
+	for {
+		stdout, code, err := c.Run(ctx, args...)
+		if code == exitNoAnswer && ctx.Err() == nil {
+			continue
+		}
+		if err != nil && code != exitRefused && code != exitStale {
+			return operator.Answer{}, err
+		}
+		var answer operator.Answer
+		if err := json.Unmarshal(stdout, &answer); err != nil {
+			return operator.Answer{}, fmt.Errorf("read the answer: %w: %s", err, stdout)
+		}
+		return answer, nil
+	}
+}
+
+// GetStatus asks for the status until there is an answer.
+func (c *Cluster) GetStatus(ctx context.Context) (operator.Status, error) {
+	for {
+		stdout, code, err := c.Run(ctx, "status")
+		if code == exitNoAnswer && ctx.Err() == nil {
+			continue
+		}
+		if err != nil {
+			return operator.Status{}, err
+		}
+		var status operator.Status
+		if err := json.Unmarshal(stdout, &status); err != nil {
+			return operator.Status{}, fmt.Errorf("read the status: %w", err)
+		}
+		return status, nil
+	}
+}
