--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -113,6 +113,7 @@
 	votes      map[storer.Identity]bool
 
 	verification verification
+	admitted     Admit
 	joining      joining
 	// addresses are those of recent senders, for answers to replicas that the
 	// membership lacks.
@@ -182,6 +183,8 @@
 	case Resign:
 		m.advance(in.Now)
 		m.resign()
+	case Admit:
+		m.admitted = in
 	case SnapshotTaken:
 		m.advance(in.Now)
 		m.compact(in)
