--- /dev/null
+++ b/bench/services/comparer/comparer_test.go
@@ -0,0 +1,30 @@
+package comparer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+	"github.com/redwingledge/redwingledge/bench/services/deliverer"
+	"github.com/redwingledge/redwingledge/bench/services/disturber"
+)
+
+// Guards against reports that differ between runs of one seed.
+func TestCompareIsReproducible(t *testing.T) {
+	settings := Settings{
+		Deployments: deployer.Today()[:1], Scenarios: disturber.Scenarios()[2:3], Seed: 3, Seeds: 1,
+		Plan: deliverer.Plan{LeavesAt: time.Second, ReturnsAt: 2 * time.Second, Length: 4 * time.Second},
+	}
+	first, err := Compare(settings)
+	require.NoError(t, err)
+	second, err := Compare(settings)
+	require.NoError(t, err)
+	require.Equal(t, first.Markdown, second.Markdown)
+	require.Len(t, first.Images, 1)
+	settings.Seed = 4
+	third, err := Compare(settings)
+	require.NoError(t, err)
+	require.NotEqual(t, first.Markdown, third.Markdown)
+}
--- /dev/null
+++ b/bench/services/deliverer/policy.go
@@ -0,0 +1,174 @@
+// Package deliverer measures the service delivered while operators take a data
+// centre out and bring it back with backend servers that start cold. Round robin
+// and least connections without care for cold starts get the same load.
+package deliverer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/gateway/services/granter"
+	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+	"github.com/redwingledge/redwingledge/gateway/services/queuer"
+	"github.com/redwingledge/redwingledge/gateway/services/scheduler"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// Policy decides which backend server runs a request.
+type Policy string
+
+// Policies.
+const (
+	PolicyRedwingledge     Policy = "redwingledge"
+	PolicyRoundRobin       Policy = "round robin"
+	PolicyLeastConnections Policy = "least connections"
+)
+
+// Policies returns all policies.
+func Policies() []Policy {
+	return []Policy{PolicyRedwingledge, PolicyRoundRobin, PolicyLeastConnections}
+}
+
+// balancer is the part of a policy that runs at one gateway.
+type balancer interface {
+	setView(view viewer.View)
+	submit(r *request)
+	// finished tells how a request ended that was started.
+	finished(r *request, result leaser.Result, latency time.Duration)
+	// cancel takes back a request that was not started; the caller has gone.
+	cancel(r *request)
+}
+
+// direct sends each request at once, by round robin or least connections.
+type direct struct {
+	w       *world
+	gateway *gateway
+	policy  Policy
+	ready   map[string][]announcer.ID
+	next    map[string]int
+	open    map[announcer.ID]int
+}
+
+func (d *direct) setView(view viewer.View) {
+	d.ready = make(map[string][]announcer.ID)
+	for _, r := range view.Backends {
+		if view.Accepts(r) {
+			d.ready[r.Service] = append(d.ready[r.Service], r.ID)
+		}
+	}
+}
+
+func (d *direct) submit(r *request) {
+	ready := d.ready[r.service]
+	if len(ready) == 0 {
+		d.w.fail(r)
+		return
+	}
+	start := d.next[r.service]
+	d.next[r.service]++
+	best := ready[start%len(ready)]
+	if d.policy == PolicyLeastConnections {
+		// Ties are broken in turn.
+		for i := range ready {
+			if id := ready[(start+i)%len(ready)]; d.open[id] < d.open[best] {
+				best = id
+			}
+		}
+	}
+	d.open[best]++
+	r.slot = leaser.Slot{ID: best}
+	d.w.send(d.gateway, r)
+}
+
+func (d *direct) finished(r *request, _ leaser.Result, _ time.Duration) { d.open[r.slot.ID]-- }
+
+func (d *direct) cancel(*request) {}
+
+// leased runs the scheduler of redwingledge.
+type leased struct {
+	w       *world
+	gateway *gateway
+	machine *scheduler.Machine
+	waiting map[uint64]*request
+}
+
+func newLeased(w *world, g *gateway, seed uint64) *leased {
+	settings := scheduler.Settings{
+		Self:  g.name,
+		Slots: granter.Settings{Lease: 2 * time.Second, Spread: 3 * time.Second},
+		// The defaults of the gateway.
+		Queues: queuer.Settings{PerMember: 100, Total: 5000},
+	}
+	l := &leased{w: w, gateway: g, machine: scheduler.New(settings, rand.New(rand.NewPCG(seed, 3))), waiting: make(map[uint64]*request)}
+	w.After(time.Duration(w.rng.Int64N(int64(scheduler.TickPeriod))), l.tick)
+	return l
+}
+
+func (l *leased) tick() {
+	l.step(scheduler.Tick{})
+	l.w.After(scheduler.TickPeriod, l.tick)
+}
+
+func (l *leased) setView(view viewer.View) { l.step(scheduler.ViewChanged{View: view}) }
+
+func (l *leased) submit(r *request) {
+	l.waiting[r.id] = r
+	l.step(scheduler.RequestQueued{Service: r.service, Item: queuer.Item{
+		Request: r.id, Member: r.member, Deadline: r.deadline, Arrived: l.w.Now(),
+	}})
+}
+
+func (l *leased) finished(r *request, result leaser.Result, latency time.Duration) {
+	l.step(scheduler.SlotReturned{Slot: r.slot, Result: result, Latency: latency})
+}
+
+func (l *leased) cancel(r *request) {
+	if l.waiting[r.id] != nil {
+		delete(l.waiting, r.id)
+		l.step(scheduler.RequestCancelled{Service: r.service, Request: r.id})
+	}
+}
+
+func (l *leased) step(input scheduler.Input) {
+	for _, output := range l.machine.Step(l.w.Now(), input) {
+		switch out := output.(type) {
+		case scheduler.Start:
+			r := l.waiting[out.Request]
+			if r == nil {
+				l.step(scheduler.SlotReturned{Slot: out.Slot, Result: leaser.ResultUnused})
+				continue
+			}
+			delete(l.waiting, out.Request)
+			r.slot = out.Slot
+			l.w.send(l.gateway, r)
+		case scheduler.Refuse:
+			if r := l.waiting[out.Request]; r != nil {
+				delete(l.waiting, out.Request)
+				l.w.fail(r)
+			}
+		case scheduler.SendGrantRequest:
+			l.ask(out)
+		case scheduler.AnswerGrant:
+		}
+	}
+}
+
+// ask carries a request for slots to its owner and the answer back.
+func (l *leased) ask(out scheduler.SendGrantRequest) {
+	i := slices.IndexFunc(l.w.gateways, func(g *gateway) bool { return g.name == out.To })
+	to := l.w.gateways[i]
+	owner := to.balancer.(*leased) //nolint:forcetypeassert // all gateways of a run have one policy
+	l.w.After(l.w.delay(l.gateway.dataCentre, to.dataCentre), func() {
+		for _, output := range owner.machine.Step(l.w.Now(), scheduler.GrantAsked{Request: out.Request}) {
+			answer, ok := output.(scheduler.AnswerGrant)
+			if !ok {
+				continue
+			}
+			l.w.After(l.w.delay(to.dataCentre, l.gateway.dataCentre), func() {
+				l.step(scheduler.GrantAnswered{From: out.To, Sequence: out.Request.Sequence, Answer: answer.Answer})
+			})
+		}
+	})
+}
--- /dev/null
+++ b/bench/services/deliverer/server.go
@@ -0,0 +1,97 @@
+package deliverer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+)
+
+const (
+	// warmUp is the time of light load after which a cold backend server is warm.
+	warmUp = 20 * time.Second
+	// coldSpeed is the speed of a backend server that has just started, where 1 is warm.
+	coldSpeed = 0.125
+	// fullLoadSpeed is the speed below which a backend server fails when all its
+	// slots are in use.
+	fullLoadSpeed = 0.5
+	// restart is the time that a backend server refuses requests after a failure.
+	restart = 2 * time.Second
+)
+
+// server is a backend server with slots and a queue of connections.
+type server struct {
+	w          *world
+	dataCentre string
+	// warmSince is when the warm-up began.
+	warmSince time.Time
+	downUntil time.Time
+	running   []*request
+	queue     []*request
+}
+
+// speed rises evenly from coldSpeed to 1 during the warm-up.
+func (s *server) speed() float64 {
+	warm := float64(s.w.Now().Sub(s.warmSince)) / float64(warmUp)
+	return min(1, coldSpeed+(1-coldSpeed)*max(0, warm))
+}
+
+func (s *server) arrive(r *request) {
+	switch {
+	case s.w.Now().Before(s.downUntil):
+		s.w.answer(s, r, leaser.ResultFailed)
+	case len(s.running)+len(s.queue) >= deployer.Connections:
+		s.w.answer(s, r, leaser.ResultShed)
+	default:
+		s.queue = append(s.queue, r)
+		s.start()
+	}
+}
+
+func (s *server) start() {
+	for len(s.queue) > 0 && len(s.running) < deployer.Slots {
+		r := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running = append(s.running, r)
+		if len(s.running) == deployer.Slots && s.speed() < fullLoadSpeed {
+			s.crash()
+			return
+		}
+		r.run++
+		run := r.run
+		s.w.After(time.Duration(float64(r.work)/s.speed()), func() {
+			if r.run == run && s.remove(r) {
+				s.w.answer(s, r, leaser.ResultAnswered)
+				s.start()
+			}
+		})
+	}
+}
+
+// crash fails all requests and starts the backend server again, cold.
+func (s *server) crash() {
+	s.w.crashes++
+	failed := slices.Concat(s.running, s.queue)
+	s.running, s.queue = nil, nil
+	s.downUntil = s.w.Now().Add(restart)
+	s.warmSince = s.downUntil
+	for _, r := range failed {
+		s.w.answer(s, r, leaser.ResultFailed)
+	}
+}
+
+// remove takes a request off. It reports whether the request was running.
+func (s *server) remove(r *request) bool {
+	s.queue = slices.DeleteFunc(s.queue, func(q *request) bool { return q == r })
+	before := len(s.running)
+	s.running = slices.DeleteFunc(s.running, func(q *request) bool { return q == r })
+	return len(s.running) < before
+}
+
+// cancel ends a request whose caller has gone.
+func (s *server) cancel(r *request) {
+	if s.remove(r) {
+		s.start()
+	}
+}
--- /dev/null
+++ b/bench/services/disturber/disturber_test.go
@@ -0,0 +1,22 @@
+package disturber
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+)
+
+// Guards against a harness that cannot see a broken flow and against runs that
+// cannot be reproduced.
+func TestRun(t *testing.T) {
+	drain := Scenarios()[2]
+	first := Run(deployer.Today()[0], drain, 1)
+	t.Logf("%+v", first)
+	require.Positive(t, first.Modulo, "broken flows by modulo hashing")
+	require.Positive(t, first.Rendezvous, "broken flows by rendezvous hashing")
+	require.Less(t, first.Rendezvous, first.Modulo)
+	require.Zero(t, first.WrongService)
+	require.Equal(t, first, Run(deployer.Today()[0], drain, 1))
+}
--- /dev/null
+++ b/bench/services/disturber/network.go
@@ -0,0 +1,262 @@
+// Package disturber measures the flows that changes break: while entries restart
+// and die and backend servers drain, join and turn cold. Plain modulo hashing and
+// plain rendezvous hashing place the same packets in the same run.
+package disturber
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+	"github.com/redwingledge/redwingledge/bench/modules/sequencer"
+	"github.com/redwingledge/redwingledge/entry/services/placer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
+	"github.com/redwingledge/redwingledge/shared/modules/hasher"
+)
+
+// loss is the share of control messages that are lost.
+const loss = 0.01
+
+// network joins placement machines by messages with delay, loss and reordering.
+type network struct {
+	*sequencer.Sequencer
+	rng        *rand.Rand
+	deployment deployer.Deployment
+	catalog    cataloger.Catalog
+	records    map[announcer.ID]announcer.Record
+	nodes      []*node
+	flows      []*flow
+	// membersVersion counts the changes of members.
+	membersVersion int
+	tally
+}
+
+type tally struct {
+	packets, wrongService, dropped, lost int
+	broken, modulo, rendezvous           int
+}
+
+type node struct {
+	name, dataCentre string
+	machine          *placer.Machine
+	isUp             bool
+	frozenUntil      time.Time
+	// view and ready are the records that the entry has heard of, for the baselines.
+	view           map[announcer.ID]announcer.Record
+	ready          map[string][]announcer.ID
+	membersVersion int
+	held           map[uint32]sent
+}
+
+func newNetwork(d deployer.Deployment, seed uint64) *network {
+	n := &network{
+		Sequencer: sequencer.New(), rng: rand.New(rand.NewPCG(seed, 0)), deployment: d,
+		records: make(map[announcer.ID]announcer.Record),
+	}
+	for _, name := range d.DataCentres {
+		n.catalog.DataCentres = append(n.catalog.DataCentres, cataloger.DataCentre{Name: name})
+	}
+	for _, s := range d.Services {
+		n.catalog.Services = append(n.catalog.Services, cataloger.Service{Name: s.Name, Kind: cataloger.KindFlow, SprayScope: cataloger.SprayRegion})
+		for i := range s.Hosts {
+			n.setBackend(s.Name, i, announcer.StateReady, announcer.RampSteps)
+		}
+	}
+	for i := range deployer.Entries {
+		n.nodes = append(n.nodes, &node{name: fmt.Sprintf("entry-%d", i), dataCentre: d.DataCentre(i)})
+	}
+	for _, e := range n.nodes {
+		n.startEntry(e)
+	}
+	n.After(0, n.tick)
+	return n
+}
+
+// delay has a tail that reorders messages.
+func (n *network) delay(from, to *node) time.Duration {
+	base := 300 * time.Microsecond
+	if from.dataCentre != to.dataCentre {
+		base = n.deployment.Delay
+	}
+	return base + time.Duration(n.rng.ExpFloat64()*float64(time.Millisecond))
+}
+
+// unevenly returns when one entry hears of a change. The hold time of 1 s exceeds it.
+func (n *network) unevenly() time.Duration {
+	return time.Duration(n.rng.Int64N(int64(900 * time.Millisecond)))
+}
+
+// at runs f at an entry, once it is not frozen, unless it is down by then.
+func (n *network) at(e *node, f func()) {
+	machine := e.machine
+	switch {
+	case !e.isUp || machine == nil:
+	case n.Now().Before(e.frozenUntil):
+		n.After(e.frozenUntil.Sub(n.Now()), func() {
+			if e.machine == machine {
+				n.at(e, f)
+			}
+		})
+	default:
+		f()
+	}
+}
+
+func (n *network) tick() {
+	for _, e := range n.nodes {
+		if e.isUp && !n.Now().Before(e.frozenUntil) {
+			n.step(e, placer.Tick{})
+		}
+	}
+	n.After(20*time.Millisecond, n.tick)
+}
+
+func (n *network) step(e *node, input placer.Input) {
+	for _, output := range e.machine.Step(n.Now(), input) {
+		switch out := output.(type) {
+		case placer.StateChanged:
+			if out.Event == placer.EventThawed {
+				n.After(100*time.Millisecond, func() { n.at(e, func() { n.step(e, placer.ViewCurrent{}) }) })
+			}
+		case placer.SendMessage:
+			n.deliver(e, out)
+		case placer.PacketReleased:
+			s := e.held[out.Ticket]
+			delete(e.held, out.Ticket)
+			n.act(e, s, out.Decision)
+		}
+	}
+}
+
+func (n *network) find(name string) *node {
+	return n.nodes[slices.IndexFunc(n.nodes, func(e *node) bool { return e.name == name })]
+}
+
+func (n *network) deliver(from *node, out placer.SendMessage) {
+	if n.rng.Float64() < loss {
+		return
+	}
+	to := n.find(out.To)
+	n.After(n.delay(from, to), func() {
+		n.at(to, func() { n.step(to, placer.MessageReceived{From: from.name, Message: out.Message}) })
+	})
+}
+
+func (n *network) setBackend(service string, host int, state announcer.State, step uint8) {
+	r := n.deployment.Record(service, host)
+	r.State, r.RampStep, r.Sequence = state, step, n.records[r.ID].Sequence+1
+	n.records[r.ID] = r
+	for _, e := range n.nodes {
+		n.After(n.unevenly(), func() { n.at(e, func() { n.hear(e, r) }) })
+	}
+}
+
+// ramp raises the weight of a backend server that starts or has turned cold.
+func (n *network) ramp(service string, host int) {
+	for step := range uint8(announcer.RampSteps + 1) {
+		n.After(time.Duration(step)*5*time.Second, func() { n.setBackend(service, host, announcer.StateReady, step) })
+	}
+}
+
+func (n *network) hear(e *node, r announcer.Record) {
+	if old, ok := e.view[r.ID]; ok && old.Sequence >= r.Sequence {
+		return
+	}
+	e.view[r.ID] = r
+	e.ready = make(map[string][]announcer.ID)
+	for id, known := range e.view {
+		if known.AcceptsNewFlows() {
+			e.ready[id.Service] = append(e.ready[id.Service], id)
+		}
+	}
+	for _, ids := range e.ready {
+		slices.SortFunc(ids, func(a, b announcer.ID) int { return strings.Compare(a.Host, b.Host) })
+	}
+	n.step(e, placer.RecordsChanged{Changed: []announcer.Record{r}})
+}
+
+func (n *network) startEntry(e *node) {
+	e.isUp, e.frozenUntil = true, time.Time{}
+	config := placer.DefaultConfig(e.name, e.dataCentre)
+	config.Flows = 10_000
+	e.machine = placer.NewMachine(config, n.Now())
+	e.membersVersion = 0
+	e.view, e.held = make(map[announcer.ID]announcer.Record), make(map[uint32]sent)
+	n.step(e, placer.CatalogChanged{Catalog: n.catalog})
+	for _, r := range n.sortedRecords() {
+		n.hear(e, r)
+	}
+	n.spreadMembers(0)
+	n.After(time.Second, func() { n.at(e, func() { n.step(e, placer.ViewCurrent{}) }) })
+}
+
+func (n *network) sortedRecords() []announcer.Record {
+	var records []announcer.Record
+	for _, r := range n.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b announcer.Record) int { return strings.Compare(a.String(), b.String()) })
+	return records
+}
+
+// spreadMembers lets every entry hear unevenly who is up.
+func (n *network) spreadMembers(after time.Duration) {
+	var members []placer.Member
+	for _, e := range n.nodes {
+		if e.isUp {
+			members = append(members, placer.Member{Name: e.name, DataCentre: e.dataCentre})
+		}
+	}
+	n.membersVersion++
+	version := n.membersVersion
+	for _, e := range n.nodes {
+		n.After(after+n.unevenly(), func() {
+			n.at(e, func() {
+				if version > e.membersVersion {
+					e.membersVersion = version
+					n.step(e, placer.MembersChanged{Members: members})
+				}
+			})
+		})
+	}
+}
+
+// killEntry stops an entry without notice. The others notice after 4.5 s; until then
+// the fabric's health checks (2 s) still send it packets.
+func (n *network) killEntry(e *node) {
+	n.at(e, func() { e.frozenUntil = n.Now().Add(2 * time.Second) })
+	n.After(2*time.Second-time.Millisecond, func() {
+		e.isUp = false
+		n.spreadMembers(2500 * time.Millisecond)
+	})
+}
+
+// stopEntry stops an entry as planned: hand-over, drain, end.
+func (n *network) stopEntry(e *node) {
+	n.at(e, func() { n.step(e, placer.Leave{}) })
+	n.After(12*time.Second, func() {
+		e.isUp = false
+		n.spreadMembers(0)
+	})
+}
+
+// placeBaselines places a packet by plain hashing over the view of an entry.
+func (n *network) placeBaselines(e *node, f *flow) {
+	ready := e.ready[f.service]
+	if len(ready) == 0 {
+		return
+	}
+	var best announcer.ID
+	bestScore := uint64(0)
+	for _, id := range ready {
+		if s := hasher.Pair(hasher.String(id.Host), f.hash); s >= bestScore {
+			best, bestScore = id, s
+		}
+	}
+	f.byModulo.observe(ready[f.hash%uint64(len(ready))], &n.modulo)
+	f.byRendezvous.observe(best, &n.rendezvous)
+}
