Add rwbench capacity

The design size has 530 nodes, and only the membership had figures by size. rwbench capacity measures the state machines at growing sizes: membership, configuration versions, tables, flow cache, placement messages of a drained backend server, claims, slot grants, and the log and file of control.

--- a/bench/cmd/rwbench/main.go
+++ b/bench/cmd/rwbench/main.go
@@ -14,10 +14,28 @@
 	"github.com/redwingledge/redwingledge/bench/services/comparer"
 	"github.com/redwingledge/redwingledge/bench/services/deliverer"
 	"github.com/redwingledge/redwingledge/bench/services/disturber"
+	"github.com/redwingledge/redwingledge/bench/services/surveyor"
 )
 
 type commands struct {
 	Policies policies `cmd:"" help:"Compare broken flows, imbalance and service delivered with baselines, in virtual time."`
+	Capacity capacity `cmd:"" help:"Measure how the load of each role grows, on its state machines alone."`
+}
+
+type capacity struct {
+	Seed uint64 `name:"seed" default:"1" help:"Seed of the simulated networks."`
+}
+
+// Run measures the slopes and prints Markdown.
+func (c *capacity) Run() (err error) {
+	folder, err := os.MkdirTemp("", "rwbench")
+	if err != nil {
+		return fmt.Errorf("create a folder: %w", err)
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
+	text, err := surveyor.Survey(surveyor.DefaultSizes(), c.Seed, folder)
+	fmt.Print(text)
+	return err
 }
 
 type policies struct {
--- a/bench/services/disturber/disturber.go
+++ b/bench/services/disturber/disturber.go
@@ -49,7 +49,7 @@
 
 // Run measures one scenario. Equal seeds give equal results.
 func Run(d deployer.Deployment, s Scenario, seed uint64) Result {
-	n := newNetwork(d, seed)
+	n := newNetwork(d, seed, deployer.Entries)
 	n.Run(10 * time.Second)
 	n.openFlows(60, 85*time.Second)
 	n.Run(15 * time.Second)
--- /dev/null
+++ b/bench/services/disturber/drain.go
@@ -0,0 +1,64 @@
+package disturber
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/services/gossiper"
+	"github.com/redwingledge/redwingledge/entry/services/placer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// settleLimit bounds a drain. It is longer than the digests of 32 entries take.
+const settleLimit = 10 * time.Minute
+
+// Cost is what the placement of flows sends because of one change.
+type Cost struct {
+	Entries, Flows int
+	// Messages and Bytes are sent by each entry; Bytes include the overhead of calls.
+	Messages, Bytes float64
+	// Settled is the time until all buckets are settled at all entries.
+	Settled   time.Duration
+	IsSettled bool
+}
+
+// MeasureDrain drains one of 14 backend servers that hold the given number of
+// flows, and adds up the messages of the placement until all buckets are settled.
+func MeasureDrain(d deployer.Deployment, entries, flows int, seed uint64) Cost {
+	n := newNetwork(d, seed, entries)
+	n.flowLife = 24 * time.Hour
+	n.Run(10 * time.Second)
+	n.openFlows(float64(flows)/10, 10*time.Second)
+	n.Run(15 * time.Second)
+	n.isCounting = true
+	service := d.Services[0].Name
+	n.setBackend(service, 0, announcer.StateDraining, announcer.RampSteps)
+	start := n.Now()
+	n.Run(2 * time.Second)
+	for n.contested(service) > 0 && n.Now().Sub(start) < settleLimit {
+		n.Run(time.Second)
+	}
+	return Cost{
+		Entries: entries, Flows: len(n.flows), Settled: n.Now().Sub(start), IsSettled: n.contested(service) == 0,
+		Messages: float64(n.messages) / float64(entries), Bytes: float64(n.bytes) / float64(entries),
+	}
+}
+
+func (n *network) contested(service string) int {
+	sum := 0
+	for _, e := range n.nodes {
+		sum += e.machine.ContestedBuckets(service)
+	}
+	return sum
+}
+
+func (n *network) countMessage(from *node, out placer.SendMessage) {
+	data, err := messenger.Envelope{From: from.name, Incarnation: 1, Messages: []messenger.Message{out.Message}}.MarshalCBOR()
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", out.Message, err)) // The product never makes such a message.
+	}
+	n.messages++
+	n.bytes += len(data) + gossiper.MessageOverhead
+}
--- a/bench/services/disturber/flow.go
+++ b/bench/services/disturber/flow.go
@@ -39,12 +39,12 @@
 	by    uint64
 }
 
-// openFlows opens flows at a rate per second for a time. Flows last 25 s and send a
-// packet a second on average.
+// openFlows opens flows at a rate per second for a time. They send a packet
+// a second on average.
 func (n *network) openFlows(rate float64, d time.Duration) {
 	for t := time.Duration(0); t < d; t += time.Duration(n.rng.ExpFloat64() * float64(time.Second) / rate) {
 		n.After(t, func() {
-			f := &flow{hash: n.rng.Uint64(), until: n.Now().Add(time.Duration(n.rng.ExpFloat64() * float64(25*time.Second)))}
+			f := &flow{hash: n.rng.Uint64(), until: n.Now().Add(time.Duration(n.rng.ExpFloat64() * float64(n.flowLife)))}
 			f.service = n.deployment.Services[0].Name
 			if n.rng.IntN(4) == 0 {
 				f.service = n.deployment.Services[1].Name
--- a/bench/services/disturber/network.go
+++ b/bench/services/disturber/network.go
@@ -32,12 +32,17 @@
 	flows      []*flow
 	// membersVersion counts the changes of members.
 	membersVersion int
+	// flowLife is the mean time that flows last.
+	flowLife time.Duration
+	// isCounting adds up the control traffic.
+	isCounting bool
 	tally
 }
 
 type tally struct {
 	packets, wrongService, dropped, lost int
 	broken, modulo, rendezvous           int
+	messages, bytes                      int
 }
 
 type node struct {
@@ -52,10 +57,10 @@
 	held           map[uint32]sent
 }
 
-func newNetwork(d deployer.Deployment, seed uint64) *network {
+func newNetwork(d deployer.Deployment, seed uint64, entries int) *network {
 	n := &network{
 		Sequencer: sequencer.New(), rng: rand.New(rand.NewPCG(seed, 0)), deployment: d,
-		records: make(map[announcer.ID]announcer.Record),
+		records: make(map[announcer.ID]announcer.Record), flowLife: 25 * time.Second,
 	}
 	for _, name := range d.DataCentres {
 		n.catalog.DataCentres = append(n.catalog.DataCentres, cataloger.DataCentre{Name: name})
@@ -66,7 +71,7 @@
 			n.setBackend(s.Name, i, announcer.StateReady, announcer.RampSteps)
 		}
 	}
-	for i := range deployer.Entries {
+	for i := range entries {
 		n.nodes = append(n.nodes, &node{name: fmt.Sprintf("entry-%d", i), dataCentre: d.DataCentre(i)})
 	}
 	for _, e := range n.nodes {
@@ -137,6 +142,9 @@
 }
 
 func (n *network) deliver(from *node, out placer.SendMessage) {
+	if n.isCounting {
+		n.countMessage(from, out)
+	}
 	if n.rng.Float64() < loss {
 		return
 	}
--- /dev/null
+++ b/bench/services/surveyor/control.go
@@ -0,0 +1,172 @@
+package surveyor
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/bench/modules/tabulator"
+	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/planner"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/observer"
+	"github.com/redwingledge/redwingledge/shared/models/operator"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// journal is a Proposer that stores each command, synced, and commits it at once.
+type journal struct {
+	machine *planner.Machine
+	store   *storer.Store
+	index   uint64
+	bytes   int
+	// stored is the time that storing took.
+	stored time.Duration
+}
+
+// Propose stores and applies a command.
+func (j *journal) Propose(_ context.Context, command []byte) ([]byte, error) {
+	j.index++
+	j.bytes += len(command)
+	start := time.Now()
+	entry := storer.Entry{Index: j.index, Term: 1, Kind: storer.EntryCommand, Data: command}
+	if err := j.store.Save(&storer.Batch{Entries: []storer.Entry{entry}}); err != nil {
+		return nil, err
+	}
+	j.stored += time.Since(start)
+	return j.machine.Apply(j.index, command), nil
+}
+
+// ReadBarrier returns at once.
+func (j *journal) ReadBarrier(context.Context) error { return nil }
+
+// Status tells that this replica leads.
+func (j *journal) Status() planner.Status {
+	return planner.Status{Replica: "control-1", IsLeader: true, Leader: "control-1"}
+}
+
+// measureChanges plans and confirms drains of one backend server by turns with
+// their reversal.
+func measureChanges(sizes []int, changes int, folder string) (string, error) {
+	table := tabulator.Table{
+		Title: fmt.Sprintf("Configuration changes: %d drains and undrains, each planned and confirmed, at one replica", changes),
+		Columns: []string{
+			"services", "catalog KB", "log bytes per change", "file KB after", "file growth per change (KB)",
+			"CPU ms per change without storing", "ms per change to store and sync", "snapshot KB",
+		},
+	}
+	for _, size := range sizes {
+		if err := addChanges(&table, size, changes, filepath.Join(folder, fmt.Sprintf("control-%d", size))); err != nil {
+			return "", fmt.Errorf("measure changes with %d services: %w", size, err)
+		}
+	}
+	return table.String(), nil
+}
+
+func addChanges(table *tabulator.Table, size, changes int, folder string) error {
+	store, _, err := storer.Open(storer.Settings{Folder: folder})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		_ = store.Close()
+		_ = os.RemoveAll(folder)
+	}()
+	machine := planner.NewMachine()
+	j := &journal{machine: machine, store: store}
+	clock := timer.NewFake(time.Unix(1_700_000_000, 0))
+	service := planner.NewService(j, machine, clock, rand.NewChaCha8([32]byte{1}))
+	host := announcer.ID{Service: "service-0", Host: "host-0"}
+	if err := change(service, 0, operator.Apply{Declaration: declare(size)}); err != nil {
+		return err
+	}
+	service.AddReport(observer.Report{Reporter: "entry-0", Period: 10 * time.Second, Servers: []observer.ServerLoad{
+		{ID: host, DataCentre: "dc-0", Ready: true, Slots: 2, Connections: 2000, Flows: 100, NewFlows: 2},
+		{ID: announcer.ID{Service: "service-0", Host: "host-1"}, DataCentre: "dc-1", Ready: true, Slots: 2, Connections: 2000, Flows: 100, NewFlows: 2},
+	}})
+	before, err := store.Size()
+	if err != nil {
+		return err
+	}
+	j.bytes, j.stored = 0, 0
+	start := time.Now()
+	for i := range changes {
+		var intent operator.Intent = operator.Drain{ID: host}
+		if i%2 == 1 {
+			intent = operator.Undrain{ID: host}
+		}
+		if err := change(service, i+1, intent); err != nil {
+			return err
+		}
+	}
+	passed := time.Since(start) - j.stored
+	after, err := store.Size()
+	if err != nil {
+		return err
+	}
+	catalog, err := cbor.Marshal(machine.Catalog())
+	if err != nil {
+		return fmt.Errorf("encode the catalog: %w", err)
+	}
+	snapshot, err := machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	per := float64(changes)
+	table.Add(size, float64(len(catalog))/1000, float64(j.bytes)/per, float64(after)/1000, float64(after-before)/1000/per,
+		passed.Seconds()*1000/per, j.stored.Seconds()*1000/per, float64(len(snapshot))/1000)
+	return nil
+}
+
+// change plans and confirms an intent.
+func change(service *planner.Service, number int, intent operator.Intent) error {
+	who := planner.Identity{Name: "amina", Bootstrap: number == 0}
+	ctx := context.Background()
+	answer, err := service.CreatePlan(ctx, who, operator.CreatePlanRequest{RequestID: fmt.Sprintf("plan-%d", number), Intent: operator.Wrap(intent)})
+	if err != nil {
+		return err
+	}
+	if answer.Refusal != nil {
+		return fmt.Errorf("plan %d was refused: %s", number, answer.Refusal.Message)
+	}
+	answer, err = service.ConfirmPlan(ctx, who, operator.ConfirmPlanRequest{RequestID: fmt.Sprintf("confirm-%d", number), PlanID: answer.Plan.ID})
+	if err != nil {
+		return err
+	}
+	if answer.Refusal != nil {
+		return fmt.Errorf("confirmation %d was refused: %s", number, answer.Refusal.Message)
+	}
+	return nil
+}
+
+// declare returns a declaration with as many services, with one address each, and as
+// many entries and gateways, up to the number of nodes of the design size.
+func declare(services int) []byte {
+	var b strings.Builder
+	b.WriteString("data_centres:\n")
+	for i := range 6 {
+		fmt.Fprintf(&b, "  - {name: dc-%d, region: region-%d}\n", i, i%2)
+	}
+	b.WriteString("services:\n")
+	for i := range services {
+		fmt.Fprintf(&b, "  - {name: service-%d, addresses: [\"10.1.%d.%d:443\"]}\n", i, i/250, i%250+1)
+	}
+	for _, role := range []struct {
+		name string
+		port int
+	}{{"entries", 7101}, {"gateways", 7201}} {
+		fmt.Fprintf(&b, "%s:\n", role.name)
+		for i := range min(services, designNodes) {
+			fmt.Fprintf(&b, "  - {name: %s-%d, data_centre: dc-%d, address: \"10.2.%d.%d:%d\"}\n", role.name, i, i%6, i/250, i%250+1, role.port)
+		}
+	}
+	b.WriteString("control:\n  - {name: control-1, data_centre: dc-0, address: 10.3.0.1:7301, operator_address: 10.3.0.1:7311}\n")
+	b.WriteString("operators:\n  - {name: amina, role: confirmer}\n")
+	return []byte(b.String())
+}
--- /dev/null
+++ b/bench/services/surveyor/gateway.go
@@ -0,0 +1,193 @@
+package surveyor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/bench/models/deployer"
+	"github.com/redwingledge/redwingledge/bench/modules/tabulator"
+	"github.com/redwingledge/redwingledge/entry/services/gossiper"
+	"github.com/redwingledge/redwingledge/gateway/models/messenger"
+	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/gateway/services/claimer"
+	"github.com/redwingledge/redwingledge/gateway/services/granter"
+	"github.com/redwingledge/redwingledge/gateway/services/leaser"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+)
+
+// measureClaims fills a member of a claim group with keys.
+func measureClaims(sizes []int) (string, error) {
+	table := tabulator.Table{
+		Title:   "Claims at one member of a group",
+		Columns: []string{"keys", "µs per claim", "bytes of memory per key", "bytes sent per claim and member"},
+	}
+	for _, size := range sizes {
+		now := time.Unix(1_700_000_000, 0)
+		m := claimer.New(claimer.Settings{
+			Self: "gateway-0", MaxDeadline: time.Minute, Lifetime: 15 * time.Minute, Round: time.Second, Spread: 3 * time.Second,
+			MaxKeys: size + 2, MaxBytes: 1 << 30, MaxPending: 1000, FirstStart: true,
+		}, now, rand.New(rand.NewPCG(1, 1)))
+		gateways := []viewer.Gateway{{Name: "gateway-0", DataCentre: "kano-a"}, {Name: "gateway-1", DataCentre: "kano-b"}}
+		m.Step(now, claimer.ListChanged{Gateways: gateways})
+		// A gateway that starts answers no claims until its peers cannot remember any.
+		for range 60 * 30 {
+			now = now.Add(time.Second)
+			m.Step(now, claimer.Tick{})
+		}
+		lists := listHashes(m, now)
+		before, start := heap(), time.Now()
+		granted, sent := 0, 0
+		for i := range size {
+			req := messenger.ClaimRequest{
+				Key:     messenger.Key{Service: "sack-orders", Member: fmt.Sprintf("member-%d", i%100), Key: fmt.Sprintf("%032x", i)},
+				Attempt: messenger.Attempt{Gateway: "gateway-1", ID: uint64(i)}, Lists: lists,
+			}
+			for _, out := range m.Step(now, claimer.ClaimAsked{Call: uint64(i), Request: req}) {
+				answer, ok := out.(claimer.AnswerClaim)
+				if ok && answer.Answer.Status == messenger.ClaimGranted {
+					granted++
+				}
+				if i == size-1 && ok {
+					n, err := encodedBytes(req, answer.Answer)
+					if err != nil {
+						return "", err
+					}
+					sent = n
+				}
+			}
+		}
+		each := time.Since(start) / time.Duration(size)
+		if granted != size {
+			return "", fmt.Errorf("measure claims: %d of %d were granted", granted, size)
+		}
+		grown := float64(heap()-before) / float64(size)
+		// Keeps the keys alive until here.
+		if m.Keys() < size {
+			return "", fmt.Errorf("measure claims: %d of %d keys are held", m.Keys(), size)
+		}
+		table.Add(size, float64(each.Nanoseconds())/1000, grown, sent)
+	}
+	return table.String(), nil
+}
+
+// listHashes returns the hashes of the gateway lists in force at a member, from a
+// claim that it starts itself.
+func listHashes(m *claimer.Machine, now time.Time) []uint64 {
+	wanted := claimer.ClaimWanted{Request: 1, Key: messenger.Key{Key: "probe"}, Deadline: now.Add(time.Second)}
+	for _, out := range m.Step(now, wanted) {
+		if sent, ok := out.(claimer.SendClaim); ok {
+			m.Step(now, claimer.CallerGone{Request: 1})
+			return sent.Claim.Lists
+		}
+	}
+	return nil
+}
+
+// encodedBytes returns the size of messages with the overhead of one call.
+func encodedBytes(messages ...any) (int, error) {
+	sum := gossiper.MessageOverhead
+	for _, message := range messages {
+		data, err := cbor.Marshal(message)
+		if err != nil {
+			return 0, fmt.Errorf("encode %T: %w", message, err)
+		}
+		sum += len(data)
+	}
+	return sum, nil
+}
+
+// measureGrants lets gateways hold one slot each in turn of the backend servers,
+// of which there are 7 per gateway as at the design size.
+func measureGrants(sizes []int, seed uint64) (string, error) {
+	table := tabulator.Table{
+		Title:   "Slot grants: a view of all gateways and 7 backend servers for each, one request of each gateway to one owner",
+		Columns: []string{"gateways", "backend servers", "ms per view at the owner", "µs per request", "bytes per request and answer", "requests per second of one gateway in use, by the renewal period"},
+	}
+	for _, size := range sizes {
+		view, owned := makeView(size)
+		now := time.Unix(1_700_000_000, 0)
+		owner := granter.New("gateway-0", granter.Settings{Lease: 2 * time.Second, Spread: 3 * time.Second})
+		start := time.Now()
+		owner.SetView(now, view)
+		setting := time.Since(start)
+		now = now.Add(500 * time.Millisecond)
+		for range 12 {
+			owner.Tick(now)
+			now = now.Add(500 * time.Millisecond)
+		}
+		bytes := 0
+		start = time.Now()
+		for i := range size {
+			req := messenger.GrantRequest{
+				From: fmt.Sprintf("gateway-%d", i), Epoch: seed, Sequence: 1,
+				Demands: []messenger.Demand{{ID: owned[i%len(owned)], Want: 1, Report: messenger.Report{Answers: 3, Latency: time.Second}}},
+			}
+			answer := owner.Grant(now, req)
+			if i == size-1 {
+				n, err := encodedBytes(req, answer)
+				if err != nil {
+					return "", err
+				}
+				bytes = n
+			}
+		}
+		each := time.Since(start) / time.Duration(size)
+		table.Add(size, len(view.Backends), setting.Seconds()*1000, float64(each.Nanoseconds())/1000, bytes, measureAsks(view, seed))
+	}
+	return table.String(), nil
+}
+
+// measureAsks returns the requests per second of a gateway that keeps one slot in
+// use for each of 8 owners that have granted it.
+func measureAsks(view viewer.View, seed uint64) float64 {
+	now := time.Unix(1_700_000_000, 0)
+	leases := leaser.New("gateway-0", 2*time.Second, rand.New(rand.NewPCG(seed, 1)))
+	leases.SetView(view)
+	const seconds = 5
+	asks := 0
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		need := max(0, 8-inUse(leases, view))
+		for _, ask := range leases.Asks(now, map[string]int{"sack-orders": need}) {
+			asks++
+			answer := messenger.GrantAnswer{}
+			for _, d := range ask.Request.Demands {
+				answer.Grants = append(answer.Grants, messenger.Grant{ID: d.ID, Slots: min(d.Want, deployer.Slots), Lease: 2 * time.Second})
+			}
+			leases.Granted(now, ask.To, ask.Request.Sequence, answer)
+		}
+		for range need {
+			leases.Take(now, "sack-orders")
+		}
+	}
+	return float64(asks) / seconds
+}
+
+func inUse(leases *leaser.Leases, view viewer.View) int {
+	sum := 0
+	for _, r := range view.Backends {
+		sum += leases.InUse(r.ID)
+	}
+	return sum
+}
+
+// makeView returns gateways and backend servers, and those that gateway-0 owns.
+func makeView(gateways int) (viewer.View, []announcer.ID) {
+	d := deployer.Today()[0]
+	view := viewer.View{Services: []string{"sack-orders"}}
+	for i := range gateways {
+		view.Gateways = append(view.Gateways, viewer.Gateway{Name: fmt.Sprintf("gateway-%d", i), DataCentre: d.DataCentre(i)})
+	}
+	var owned []announcer.ID
+	for i := range 7 * gateways {
+		r := d.Record("sack-orders", i)
+		view.Backends = append(view.Backends, r)
+		if granter.Owner(view, r) == "gateway-0" {
+			owned = append(owned, r.ID)
+		}
+	}
+	return view, owned
+}
--- /dev/null
+++ b/bench/services/surveyor/membership.go
@@ -0,0 +1,193 @@
+package surveyor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingledge/redwingledge/bench/modules/sequencer"
+	"github.com/redwingledge/redwingledge/bench/modules/tabulator"
+	"github.com/redwingledge/redwingledge/entry/services/gossiper"
+)
+
+const (
+	gossipDelay = 4 * time.Millisecond
+	// fetchTime stands for the fetch of a configuration from a peer: a round trip.
+	fetchTime = 3 * gossipDelay
+	// designNodes is the size from which there are 2 regions with 6 data centres.
+	designNodes = 530
+)
+
+// cloud joins the membership machines of entries.
+type cloud struct {
+	*sequencer.Sequencer
+	rng        *rand.Rand
+	nodes      []*member
+	byAddress  map[netip.AddrPort]*member
+	isCounting bool
+	messages   int
+	bytes      int
+	busy       time.Duration
+}
+
+type member struct {
+	machine  *gossiper.Machine
+	region   string
+	live     int
+	version  uint64
+	fetching bool
+}
+
+func newCloud(size int, seed uint64) *cloud {
+	c := &cloud{Sequencer: sequencer.New(), rng: rand.New(rand.NewPCG(seed, 5)), byAddress: make(map[netip.AddrPort]*member)}
+	regions, centres := 1, 4
+	if size >= designNodes {
+		regions, centres = 2, 6
+	}
+	byRegion := make([][]netip.AddrPort, regions)
+	for i := range size {
+		byRegion[i%regions] = append(byRegion[i%regions], address(i))
+	}
+	for i := range size {
+		settings := gossiper.Settings{
+			Name: fmt.Sprintf("entry-%03d", i), DataCentre: fmt.Sprintf("dc-%d", i%centres), Region: fmt.Sprintf("region-%d", i%regions),
+			Address: address(i), PacketAddress: address(i), Incarnation: uint64(c.Now().UnixMilli()), Seeds: byRegion[i%regions][:3],
+		}
+		m := &member{machine: gossiper.New(settings, rand.New(rand.NewPCG(c.rng.Uint64(), 2)), c.Now()), region: settings.Region}
+		c.nodes = append(c.nodes, m)
+		c.byAddress[settings.Address] = m
+		if regions > 1 {
+			c.step(m, gossiper.RemotesChanged{Addresses: byRegion[1-i%regions]})
+		}
+		c.After(time.Duration(c.rng.Int64N(int64(gossiper.TickPeriod))), func() { c.tick(m) })
+	}
+	return c
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+func (c *cloud) tick(m *member) {
+	c.step(m, gossiper.Tick{})
+	c.After(gossiper.TickPeriod, func() { c.tick(m) })
+}
+
+func (c *cloud) step(m *member, input gossiper.Input) {
+	start := time.Now()
+	outputs := m.machine.Step(c.Now(), input)
+	if c.isCounting {
+		c.busy += time.Since(start)
+	}
+	for _, output := range outputs {
+		switch out := output.(type) {
+		case gossiper.Send:
+			c.send(out)
+		case gossiper.MembersChanged:
+			m.live = len(out.Members)
+		case gossiper.VersionHeard:
+			c.fetch(m, out.Version)
+		}
+	}
+}
+
+func (c *cloud) fetch(m *member, version uint64) {
+	if m.fetching || version <= m.version {
+		return
+	}
+	m.fetching = true
+	c.After(fetchTime, func() {
+		m.fetching = false
+		c.setVersion(m, version)
+	})
+}
+
+func (c *cloud) setVersion(m *member, version uint64) {
+	m.version = max(m.version, version)
+	c.step(m, gossiper.VersionChanged{Version: version})
+}
+
+func (c *cloud) send(out gossiper.Send) {
+	if c.isCounting {
+		data, err := cbor.Marshal(out.Envelope)
+		if err != nil {
+			panic(fmt.Sprintf("encode an envelope: %v", err)) // The product never makes such a message.
+		}
+		c.messages++
+		c.bytes += len(data) + gossiper.MessageOverhead
+	}
+	to := c.byAddress[out.To]
+	if to == nil {
+		return
+	}
+	envelope := out.Envelope
+	delay := gossipDelay + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+	c.After(delay, func() { c.step(to, gossiper.Received{Envelope: envelope}) })
+}
+
+// until runs until done is true and returns the time that it took, or limit.
+func (c *cloud) until(limit time.Duration, done func(m *member) bool) time.Duration {
+	start := c.Now()
+	for c.Now().Sub(start) < limit {
+		isDone := true
+		for _, m := range c.nodes {
+			isDone = isDone && done(m)
+		}
+		if isDone {
+			break
+		}
+		c.Run(50 * time.Millisecond)
+	}
+	return c.Now().Sub(start)
+}
+
+// measureMembership measures idle entries and the time that a configuration version
+// needs to reach all of them.
+func measureMembership(sizes []int, seed uint64) string {
+	table := tabulator.Table{
+		Title: "Membership and configuration versions",
+		Columns: []string{
+			"entries", "all see all after (s)", "idle B/s per entry", "idle messages/s per entry", "CPU per entry (µs per s)",
+			"version everywhere, median of 5 (s)", "worst (s)", "more bytes per entry and change",
+		},
+	}
+	for _, size := range sizes {
+		c := newCloud(size, seed)
+		inRegion := make(map[string]int)
+		for _, m := range c.nodes {
+			inRegion[m.region]++
+		}
+		cold := c.until(5*time.Minute, func(m *member) bool { return m.live == inRegion[m.region] })
+		c.Run(time.Minute)
+		const seconds = 20
+		idleBytes, idleMessages, idleBusy := c.count(seconds * time.Second)
+		var times []time.Duration
+		extra := 0.0
+		for version := range uint64(5) {
+			from := c.nodes[c.rng.IntN(size)]
+			c.setVersion(from, version+1)
+			c.isCounting, c.bytes = true, 0
+			start := c.Now()
+			times = append(times, c.until(time.Minute, func(m *member) bool { return m.version == version+1 }))
+			c.Run(10 * time.Second)
+			extra += (float64(c.bytes) - idleBytes*c.Now().Sub(start).Seconds()*float64(size)) / float64(size) / 5
+			c.isCounting = false
+		}
+		slices.Sort(times)
+		table.Add(size, cold.Seconds(), idleBytes, idleMessages, idleBusy, times[len(times)/2].Seconds(), times[len(times)-1].Seconds(), extra)
+	}
+	return table.String()
+}
+
+// count returns the bytes, messages and microseconds of each entry per second.
+func (c *cloud) count(d time.Duration) (bytes, messages, micros float64) {
+	c.isCounting, c.bytes, c.messages, c.busy = true, 0, 0, 0
+	c.Run(d)
+	c.isCounting = false
+	per := d.Seconds() * float64(len(c.nodes))
+	return float64(c.bytes) / per, float64(c.messages) / per, float64(c.busy.Microseconds()) / per
+}
--- /dev/null
+++ b/bench/services/surveyor/surveyor.go
@@ -0,0 +1,86 @@
+// Package surveyor measures how the load of each role grows with the size of the
+// system, on its state machines alone. Processor times are wall time of one thread
+// on the machine that runs it; all else is virtual time from a seed.
+package surveyor
+
+import (
+	"runtime"
+	"strings"
+	"time"
+)
+
+// Sizes are the sizes to measure.
+type Sizes struct {
+	// Nodes are numbers of entries or gateways.
+	Nodes []int
+	// DigestEntries are numbers of entries, and DigestFlows numbers of flows, to
+	// drain a backend server with. The first number of flows goes with all entries.
+	DigestEntries, DigestFlows []int
+	// Hosts are numbers of backend servers of one service.
+	Hosts []int
+	// Flows are numbers of flows at one entry.
+	Flows []int
+	// Keys are numbers of claimed keys at one gateway.
+	Keys []int
+	// Services are numbers of services of the configuration.
+	Services []int
+	// Changes is the number of configuration changes to store for each size.
+	Changes int
+}
+
+// DefaultSizes returns the sizes that docs/CAPACITY.md uses.
+func DefaultSizes() Sizes {
+	return Sizes{
+		Nodes: []int{8, 32, 128, 530}, DigestEntries: []int{4, 8, 16, 32}, DigestFlows: []int{2000, 500, 1000, 4000, 8000},
+		Hosts: []int{14, 128, 530, 3900}, Flows: []int{10_000, 100_000, 400_000, 1_000_000, 7_000_000},
+		Keys: []int{1000, 10_000, 100_000, 300_000}, Services: []int{8, 32, 128, 530, 830}, Changes: 280,
+	}
+}
+
+// Survey measures the roles and returns Markdown. Folder is for the files of
+// control; it must exist.
+func Survey(sizes Sizes, seed uint64, folder string) (string, error) {
+	var b strings.Builder
+	b.WriteString("# Slopes\n\n## Entry\n\n")
+	b.WriteString(measureMembership(sizes.Nodes, seed))
+	b.WriteString(measureTables(sizes.Hosts))
+	b.WriteString(measureFlows(sizes.Flows))
+	b.WriteString(measureDigests(sizes.DigestEntries, sizes.DigestFlows, seed))
+	b.WriteString("## Gateway\n\n")
+	claims, err := measureClaims(sizes.Keys)
+	if err != nil {
+		return "", err
+	}
+	b.WriteString(claims)
+	grants, err := measureGrants(sizes.Nodes, seed)
+	if err != nil {
+		return "", err
+	}
+	b.WriteString(grants)
+	b.WriteString("## Control\n\n")
+	changes, err := measureChanges(sizes.Services, sizes.Changes, folder)
+	if err != nil {
+		return "", err
+	}
+	return b.String() + changes, nil
+}
+
+// timePerCall calls f for at least 200 ms and three times.
+func timePerCall(f func()) time.Duration {
+	f()
+	start := time.Now()
+	for n := 1; ; n++ {
+		f()
+		if passed := time.Since(start); n >= 3 && passed > 200*time.Millisecond {
+			return passed / time.Duration(n)
+		}
+	}
+}
+
+// heap returns the bytes in use.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
