--- a/bench/services/surveyor/control.go
+++ b/bench/services/surveyor/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -14,7 +15,9 @@
 	"github.com/redwingledge/redwingledge/bench/modules/tabulator"
 	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/planner"
+	"github.com/redwingledge/redwingledge/entry/models/differ"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/models/observer"
 	"github.com/redwingledge/redwingledge/shared/models/operator"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -57,7 +60,7 @@
 	table := tabulator.Table{
 		Title: fmt.Sprintf("Configuration changes: %d drains and undrains, each planned and confirmed, at one replica", changes),
 		Columns: []string{
-			"services", "catalog KB", "log bytes per change", "file KB after", "file growth per change (KB)",
+			"services", "catalog KB", "bytes of a delta for entries", "log bytes per change", "file KB after", "file growth per change (KB)",
 			"CPU ms per change without storing", "ms per change to store and sync", "snapshot KB",
 		},
 	}
@@ -94,6 +97,10 @@
 	if err != nil {
 		return err
 	}
+	delta, err := measureDelta(machine.Catalog(), host)
+	if err != nil {
+		return err
+	}
 	j.bytes, j.stored = 0, 0
 	start := time.Now()
 	for i := range changes {
@@ -119,11 +126,28 @@
 		return err
 	}
 	per := float64(changes)
-	table.Add(size, float64(len(catalog))/1000, float64(j.bytes)/per, float64(after)/1000, float64(after-before)/1000/per,
+	table.Add(size, float64(len(catalog))/1000, delta, float64(j.bytes)/per, float64(after)/1000, float64(after-before)/1000/per,
 		passed.Seconds()*1000/per, j.stored.Seconds()*1000/per, float64(len(snapshot))/1000)
 	return nil
 }
 
+// measureDelta returns the bytes of a drained backend server in the form in which
+// entries fetch changes, without the overhead of the call.
+func measureDelta(base cataloger.Catalog, host announcer.ID) (int, error) {
+	next := base
+	next.Version++
+	next.Drained = []announcer.ID{host}
+	delta, ok := differ.Diff(&base, &next)
+	if !ok {
+		return 0, errors.New("the change has no delta")
+	}
+	data, err := cbor.Marshal(delta)
+	if err != nil {
+		return 0, fmt.Errorf("encode a delta: %w", err)
+	}
+	return len(data), nil
+}
+
 // change plans and confirms an intent.
 func change(service *planner.Service, number int, intent operator.Intent) error {
 	who := planner.Identity{Name: "amina", Bootstrap: number == 0}
