--- a/gateway/services/granter/granter.go
+++ b/gateway/services/granter/granter.go
@@ -222,7 +222,7 @@
 		return
 	}
 	// A cold backend server must not raise what counts as usual by much.
-	m.usual[h.record.Service] = usual + (min(mean, 2*usual)-usual)/64
+	m.usual[h.record.Service] = usual + (min(mean, 4*usual)-usual)/64
 }
 
 func (m *Machine) grant(now time.Time, h *host, from string, d messenger.Demand) messenger.Grant {
@@ -262,8 +262,8 @@
 }
 
 // others returns the slots leased to other gateways, the number of gateways
-// that wait and have fewer slots, and whether one of them has so few that this
-// gateway should pass a slot on.
+// that wait and have fewer slots, and whether this gateway should pass a slot
+// on to one of them.
 func (m *Machine) others(now time.Time, h *host, from string) (held, before int, poorer bool) {
 	own := h.accounts[from].total
 	for name, a := range h.accounts {
@@ -283,13 +283,22 @@
 		if a.total < own {
 			before++
 		}
-		if own >= a.total+2 || (a.total == 0 && own > 0) {
+		// The slot of a gateway far from the backend server is idle for a round
+		// trip between requests. A difference of 1 after the exchange is not
+		// enough to take the slot back.
+		isNearer := m.isLocal(name, h) && !m.isLocal(from, h)
+		if own >= a.total+2 || (a.total == 0 && own > 0) || (isNearer && own > a.total) {
 			poorer = true
 		}
 	}
 	return held, before, poorer
 }
 
+func (m *Machine) isLocal(gateway string, h *host) bool {
+	g, ok := m.view.GetGateway(gateway)
+	return ok && g.DataCentre == h.record.DataCentre
+}
+
 // Leased returns the sum of all leases that have not ended.
 func (m *Machine) Leased(now time.Time, id announcer.ID) int {
 	sum := 0
--- a/gateway/services/leaser/leaser.go
+++ b/gateway/services/leaser/leaser.go
@@ -18,7 +18,7 @@
 
 const (
 	// idleReturn is how long a slot may be unused before it is given back.
-	idleReturn = 100 * time.Millisecond
+	idleReturn = 20 * time.Millisecond
 	// askPause is the least time between two requests for more slots of one
 	// backend server after a refusal; up to as much jitter is added.
 	askPause = 20 * time.Millisecond
--- a/gateway/services/queuer/queuer.go
+++ b/gateway/services/queuer/queuer.go
@@ -40,6 +40,11 @@
 	run time.Duration
 }
 
+// pushMargin is the multiple of the usual time of a run that must be left when
+// a request that has to wait starts. With exponential times, 1 in 20 takes
+// longer; with less, requests that start just before their deadline waste slots.
+const pushMargin = 3
+
 // runWeight is the number of requests that the time of a run is smoothed over.
 const runWeight = 64
 
@@ -67,7 +72,11 @@
 	if waiting >= q.settings.PerMember || q.total >= q.settings.Total {
 		return recorder.ReasonQueueFull, false
 	}
-	if !now.Add(q.ExpectedWait(item.Member) + q.run).Before(item.Deadline) {
+	wait := q.ExpectedWait(item.Member)
+	if wait > 0 {
+		wait += min(pushMargin*q.run, item.Deadline.Sub(item.Arrived)/2)
+	}
+	if !now.Add(wait).Before(item.Deadline) {
 		return recorder.ReasonDeadline, false
 	}
 	m = q.member(item.Member)
@@ -113,8 +122,12 @@
 func (q *Queue) ObserveRun(run time.Duration) { q.run += (run - q.run) / runWeight }
 
 // isLate reports whether a request that starts now would most likely not
-// complete before its deadline; it would waste a slot.
-func (q *Queue) isLate(now time.Time, item Item) bool { return !now.Add(q.run).Before(item.Deadline) }
+// complete before its deadline; it would waste a slot. The usual time of a run
+// is that of all members, so it may not take more than a part of the time that
+// the caller gave.
+func (q *Queue) isLate(now time.Time, item Item) bool {
+	return !now.Add(min(q.run, item.Deadline.Sub(item.Arrived)/4)).Before(item.Deadline)
+}
 
 // Pop takes the next request in turn. Requests that are too late are returned
 // as expired.
