Test that a failed kept connection does not repeat a request

Cause: nothing showed that http.Transport does not repeat keyed requests by itself. Change: a backend server closes a reused connection after it has read a request.

--- a/gateway/routers/gateway_test.go
+++ b/gateway/routers/gateway_test.go
@@ -166,3 +166,23 @@
 	require.EqualValues(t, 1, stopped.Load(), "the drain delay must pass before connections are closed")
 	done.Wait()
 }
+
+// Guards against a second run after a kept connection fails: http.Transport
+// repeats requests with an Idempotency-Key by itself if it can.
+func TestFailedConnectionRunsOnce(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	c := newCluster(t, 1, b)
+	b.handler = func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	for _, body := range []string{"a", ""} {
+		before := b.runsOf(body)
+		a := c.send(t, 0, http.MethodPost, body, "key-"+body, nil)
+		require.Equal(t, recorder.ValueMayHaveRun, a.outcome)
+		require.Equal(t, before+1, b.runsOf(body))
+	}
+}
