Let rounds wait for thawed entries and describe the placement

A frozen entry may hold the only record of an idle flow. Rounds now wait up to 30 s for entries that start again, and an entry that becomes ready publishes the flows that no transfer named.

--- a/entry/models/messenger/placement.go
+++ b/entry/models/messenger/placement.go
@@ -116,6 +116,8 @@
 	// WantsTransfer asks a receiver that is ready for a PhaseTransfer digest of each
 	// service.
 	WantsTransfer bool `cbor:"4,keyasint,omitempty"`
+	// IsLeaving is set if the sender will not be ready again.
+	IsLeaving bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind returns KindStanding.
--- a/entry/services/placer/machine.go
+++ b/entry/services/placer/machine.go
@@ -85,6 +85,8 @@
 	dataCentre string
 	isLive     bool
 	isReady    bool
+	// isStarting is set if it is not ready but will be.
+	isStarting bool
 	// standing is the sequence of the newest Standing, 0 if none came.
 	standing uint64
 	askedAt  time.Time
--- a/entry/services/placer/round.go
+++ b/entry/services/placer/round.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
@@ -138,10 +139,24 @@
 	return true
 }
 
+// startingLimit bounds how long a round waits for starting entries.
+const startingLimit = 30 * time.Second
+
+// awaitsStarting reports whether an entry is starting again. After a freeze it may
+// know flows that no other does; the round begins anew with it once it is ready.
+func (m *Machine) awaitsStarting(svc *service) bool {
+	if m.now.Sub(svc.round.startAt) > startingLimit {
+		return false
+	}
+	return slices.ContainsFunc(svc.members, func(i uint16) bool { return m.entries[i].isStarting })
+}
+
 func (m *Machine) advanceRound(svc *service) {
 	r := &svc.round
 	for r.isActive {
 		switch {
+		case r.phase == messenger.PhaseTransfer && m.awaitsStarting(svc):
+			return
 		case r.phase == messenger.PhaseTransfer && !r.startAt.After(m.now):
 			m.publishRound(svc, messenger.PhaseOwned, m.listOwned(svc))
 		case r.phase == messenger.PhaseOwned && m.hasAll(svc, messenger.PhaseOwned):
--- a/entry/services/placer/start.go
+++ b/entry/services/placer/start.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
+	"github.com/redwingledge/redwingledge/entry/models/tracker"
+	"github.com/redwingledge/redwingledge/entry/services/tabler"
 )
 
 // starter is the progress of an entry towards owning flows.
@@ -126,6 +128,30 @@
 		// Buckets that are contested here may be settled elsewhere by now, so that
 		// other entries than the owners have placed flows.
 		svc.ownerChanges = max(svc.ownerChanges, askAllChanges)
+		m.publishUnknown(svc)
+	}
+}
+
+// publishUnknown tells all peers of cached flows that no transfer named although the
+// table does not: peers may have settled their buckets during a freeze.
+func (m *Machine) publishUnknown(svc *service) {
+	listed := make(map[uint64]digestLine)
+	m.cache.Each(m.sec, func(line *tracker.Line) {
+		key := exceptionKey(line.Fingerprint)
+		_, isKnown := svc.exceptions[key]
+		if b := &m.backends[line.Target]; !isKnown && b.isPresent && b.service == svc.index &&
+			line.Target != svc.active[tabler.Bucket(line.Fingerprint)] {
+			listed[key] = digestLine{key: key, target: line.Target, isUDP: line.Has(tracker.FlagUDP)}
+		}
+	})
+	if len(listed) > 0 {
+		m.publish(svc, svc.members, messenger.PhaseFacts, toLines(listed))
+	}
+}
+
+func (m *Machine) ownStanding() messenger.Standing {
+	return messenger.Standing{
+		IsReady: m.mode == modeReady, Sequence: m.standing, IsLeaving: m.mode == modeLeaving,
 	}
 }
 
@@ -136,7 +162,7 @@
 	m.announceAt = m.announceAt[1:]
 	for i := range m.entries {
 		if uint16(i) != self && m.entries[i].isLive {
-			m.send(uint16(i), messenger.Standing{IsReady: m.mode == modeReady, Sequence: m.standing})
+			m.send(uint16(i), m.ownStanding())
 		}
 	}
 }
@@ -154,9 +180,9 @@
 			continue
 		}
 		e.askedAt = m.now
-		m.send(uint16(i), messenger.Standing{
-			IsReady: m.mode == modeReady, Sequence: m.standing, WantsAnswer: true, WantsTransfer: wants,
-		})
+		standing := m.ownStanding()
+		standing.WantsAnswer, standing.WantsTransfer = true, wants
+		m.send(uint16(i), standing)
 	}
 }
 
@@ -173,6 +199,7 @@
 	e := &m.entries[from]
 	if msg.Sequence > e.standing {
 		e.standing = msg.Sequence
+		e.isStarting = !msg.IsReady && !msg.IsLeaving
 		if e.isReady != msg.IsReady {
 			e.isReady = msg.IsReady
 			// A starting entry asks it at once.
@@ -181,7 +208,7 @@
 		}
 	}
 	if msg.WantsAnswer {
-		m.send(from, messenger.Standing{IsReady: m.mode == modeReady, Sequence: m.standing})
+		m.send(from, m.ownStanding())
 	}
 	if msg.WantsTransfer && m.mode == modeReady {
 		m.sendTransfer(from)
@@ -256,7 +283,7 @@
 
 func (m *Machine) forgetEntry(i uint16) {
 	e := &m.entries[i]
-	e.isReady, e.standing, e.transferred = false, 0, nil
+	e.isReady, e.isStarting, e.standing, e.transferred = false, false, 0, nil
 	e.outbox, e.copies, e.hints = outbox{}, nil, nil
 	for _, svc := range m.services {
 		delete(svc.round.received, i)
