Pass members to the placement only after joining

Cause: the first list of members held this entry alone, which would have made it owner of all flows. Change: the watcher waits until the entry has joined; a planned stop waits up to 35 s for the hand-over, which may take 30 s.

--- a/entry/cmd/entry/services.go
+++ b/entry/cmd/entry/services.go
@@ -35,8 +35,9 @@
 	serviceDecider = "decider"
 )
 
-// handOverTimeout bounds the hand-over of owner records at a planned stop.
-const handOverTimeout = 10 * time.Second
+// handOverTimeout bounds the hand-over of what the entry knows at a planned stop.
+// The placement takes up to 30 s for it.
+const handOverTimeout = 35 * time.Second
 
 // readyPoll is the time between two checks of readiness.
 const readyPoll = 100 * time.Millisecond
--- a/entry/routers/decider/watcher.go
+++ b/entry/routers/decider/watcher.go
@@ -41,8 +41,12 @@
 
 // diff returns the inputs that lead from the seen view to the given one.
 // Members and records come before the catalog, so that the first tables are
-// complete.
+// complete. Nothing is passed on before the entry has joined: a list of members
+// with this entry alone would make it the owner of every flow.
 func (s *seenView) diff(view *viewer.View) []forwarder.Input {
+	if !view.Joined {
+		return nil
+	}
 	var inputs []forwarder.Input
 	if !s.hasMembers || view.MembersRevision != s.membersRevision {
 		s.hasMembers, s.membersRevision = true, view.MembersRevision
@@ -60,7 +64,7 @@
 	if view.Thaws != s.thaws {
 		s.thaws, s.isCurrent = view.Thaws, false
 	}
-	if current := view.Joined && view.Ready; current && !s.isCurrent {
+	if view.Ready && !s.isCurrent {
 		s.isCurrent = true
 		inputs = append(inputs, forwarder.PlacerInput{Input: placer.ViewCurrent{}})
 	}
