Send former targets of many buckets as bitmaps

Cause: an entry that joined while all buckets of a service were contested was not ready for 45 s: a transfer held a group of 4 bytes for each bucket and target, about 160 KB for 4 services, at 2 KB/s. Ruled out: a larger budget, because control may cost 5 KB/s; reporting readiness while the entry only relays, because the fabric would then send it packets that all take another hop. Change: a target with more than 128 contested buckets is sent as a bitmap of 512 bytes.

--- a/entry/models/messenger/placement.go
+++ b/entry/models/messenger/placement.go
@@ -102,6 +102,10 @@
 	// that many 32-bit fingerprints. A count of 0 states that the bucket is
 	// contested and that the target is a former one.
 	Groups []byte `cbor:"8,keyasint,omitempty"`
+	// Maps are: the position of a target (1 byte) and a bitmap of the buckets that
+	// are contested and of which it is a former target (bucket 0 is the lowest bit
+	// of the first byte).
+	Maps []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind returns KindDigest.
--- a/entry/services/placer/digest.go
+++ b/entry/services/placer/digest.go
@@ -58,7 +58,7 @@
 func (m *Machine) makeParts(head messenger.Digest, lines []digestLine) []messenger.Digest {
 	slices.SortFunc(lines, digestLine.compare)
 	lines = slices.Compact(lines)
-	var parts []messenger.Digest
+	parts, lines := m.makeMaps(head, lines)
 	var p packer
 	finish := func() {
 		part := head
@@ -104,6 +104,7 @@
 
 // eachLine calls f for each line of a part. It stops at malformed groups.
 func (m *Machine) eachLine(part messenger.Digest, f func(digestLine)) {
+	m.eachMapped(part, f)
 	groups := part.Groups
 	for len(groups) >= groupHeader {
 		bucket := binary.BigEndian.Uint16(groups)
@@ -215,7 +216,7 @@
 		part.Phase = o.streams[0].phase
 		o.sentAt, o.isSent = m.now, true
 		o.tries++
-		m.digestTokens.spend(messageOverhead + 25 + 9*len(part.Targets) + len(part.Groups))
+		m.digestTokens.spend(messageOverhead + 25 + 9*len(part.Targets) + len(part.Groups) + len(part.Maps))
 		m.send(uint16(m.nextPeer), part)
 	}
 }
