--- a/bench/services/surveyor/control.go
+++ b/bench/services/surveyor/control.go
@@ -56,17 +56,28 @@
 
 // measureChanges plans and confirms drains of one backend server by turns with
 // their reversal.
-func measureChanges(sizes []int, changes int, folder string) (string, error) {
+func measureChanges(sizes, changes []int, folder string) (string, error) {
 	table := tabulator.Table{
-		Title: fmt.Sprintf("Configuration changes: %d drains and undrains, each planned and confirmed, at one replica", changes),
+		Title: "Configuration changes: drains and undrains, each planned and confirmed, at one replica",
 		Columns: []string{
-			"services", "catalog KB", "bytes of a delta for entries", "log bytes per change", "file KB after", "file growth per change (KB)",
+			"services", "changes", "catalog KB", "bytes of a delta for entries", "log bytes per change", "file KB after", "file growth per change (KB)",
 			"CPU ms per change without storing", "ms per change to store and sync", "snapshot KB",
 		},
 	}
+	add := func(size, count int) error {
+		if err := addChanges(&table, size, count, filepath.Join(folder, fmt.Sprintf("control-%d-%d", size, count))); err != nil {
+			return fmt.Errorf("measure %d changes with %d services: %w", count, size, err)
+		}
+		return nil
+	}
 	for _, size := range sizes {
-		if err := addChanges(&table, size, changes, filepath.Join(folder, fmt.Sprintf("control-%d", size))); err != nil {
-			return "", fmt.Errorf("measure changes with %d services: %w", size, err)
+		if err := add(size, changes[0]); err != nil {
+			return "", err
+		}
+	}
+	for _, count := range changes[1:] {
+		if err := add(sizes[0], count); err != nil {
+			return "", err
 		}
 	}
 	return table.String(), nil
@@ -126,7 +137,7 @@
 		return err
 	}
 	per := float64(changes)
-	table.Add(size, float64(len(catalog))/1000, delta, float64(j.bytes)/per, float64(after)/1000, float64(after-before)/1000/per,
+	table.Add(size, changes, float64(len(catalog))/1000, delta, float64(j.bytes)/per, float64(after)/1000, float64(after-before)/1000/per,
 		passed.Seconds()*1000/per, j.stored.Seconds()*1000/per, float64(len(snapshot))/1000)
 	return nil
 }
--- a/bench/services/surveyor/surveyor.go
+++ b/bench/services/surveyor/surveyor.go
@@ -25,8 +25,9 @@
 	Keys []int
 	// Services are numbers of services of the configuration.
 	Services []int
-	// Changes is the number of configuration changes to store for each size.
-	Changes int
+	// Changes are numbers of configuration changes to store. The first goes with all
+	// numbers of services, the others with the first of those.
+	Changes []int
 }
 
 // DefaultSizes returns the sizes that docs/CAPACITY.md uses.
@@ -34,7 +35,7 @@
 	return Sizes{
 		Nodes: []int{8, 32, 128, 530}, DigestEntries: []int{4, 8, 16, 32}, DigestFlows: []int{2000, 500, 1000, 4000, 8000},
 		Hosts: []int{14, 128, 530, 3900}, Flows: []int{10_000, 100_000, 400_000, 1_000_000, 7_000_000},
-		Keys: []int{1000, 10_000, 100_000, 300_000}, Services: []int{8, 32, 128, 530, 830}, Changes: 280,
+		Keys: []int{1000, 10_000, 100_000, 300_000}, Services: []int{8, 32, 128, 530, 830}, Changes: []int{280, 1120, 2800},
 	}
 }
 
--- a/bench/services/surveyor/surveyor_test.go
+++ b/bench/services/surveyor/surveyor_test.go
@@ -11,7 +11,7 @@
 func TestSurvey(t *testing.T) {
 	sizes := Sizes{
 		Nodes: []int{8, 12}, DigestEntries: []int{3}, DigestFlows: []int{100, 200}, Hosts: []int{14}, Flows: []int{1000},
-		Keys: []int{100}, Services: []int{3}, Changes: 4,
+		Keys: []int{100}, Services: []int{3}, Changes: []int{4, 6},
 	}
 	var b strings.Builder
 	require.NoError(t, Survey(&b, sizes, 1, t.TempDir()))
