State the models in the report of rwbench policies

Cause: the report gave figures without the assumptions of its models. Conclusion: a reader can judge the comparison.

--- a/bench/services/comparer/comparer.go
+++ b/bench/services/comparer/comparer.go
@@ -14,6 +14,18 @@
 	"github.com/redwingledge/redwingledge/bench/services/disturber"
 )
 
+// notes states what the models leave out.
+const notes = `Packets are sprayed over all entries that run, also over one that has just started;
+it drops those that come before it has heard of its peers. Control messages get lost
+(1%) and reordered. A backend server has 2 slots and needs 100 ms for a request on
+average. After a cold start it is 8 times slower, gets faster evenly for 20 s, and
+fails and starts again if both slots are used while it is below half its speed. The
+offered load is 65% of the capacity of all, and requests have a deadline of 2 s.
+Requests are not retried. Answers count in the second in which they arrive, so that a
+share can exceed 100%.
+
+`
+
 // flows is the number of flows of the imbalance target.
 const flows = 200_000
 
@@ -39,6 +51,7 @@
 	report := Report{Images: make(map[string][]byte)}
 	var b strings.Builder
 	fmt.Fprintf(&b, "# Comparison of policies\n\nSeeds %d to %d; state machines in virtual time.\n\n", settings.Seed, settings.Seed+uint64(settings.Seeds)-1)
+	b.WriteString(notes)
 	for _, d := range settings.Deployments {
 		fmt.Fprintf(&b, "## %s\n\n", d.Name)
 		b.WriteString(compareBroken(d, settings))
