Replace a control replica that leads

A replaced leader stayed a member for as long as it led, because a leader never removes itself, and its replacement could not join at all: the settings of the replacement list the new members, and only the leader admits. A follower now names its leader to a replica that asks to join, and a leader that is the only surplus member steps down, after which the next leader removes it.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -189,6 +189,11 @@
 	if status.Role != replicator.RoleLeader || !status.HasQuorum {
 		return
 	}
+	if adapter.IsSurplus(status, machine.Catalog()) {
+		logger.Info("stepping down, as the configuration no longer lists this replica")
+		replica.StepDown()
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, membershipPeriod)
 	defer cancel()
 	for _, name := range adapter.FindSurplus(status, machine.Catalog()) {
--- a/control/services/adapter/adapter.go
+++ b/control/services/adapter/adapter.go
@@ -88,6 +88,26 @@
 	return names, only
 }
 
+// IsSurplus reports whether the replica itself is the only one in the membership
+// that the configuration no longer lists. It returns false until every listed
+// replica may vote.
+func IsSurplus(status replicator.Status, catalog cataloger.Catalog) bool {
+	listed := make(map[string]bool, len(catalog.Control))
+	for _, replica := range catalog.Control {
+		listed[replica.Name] = true
+	}
+	voters := 0
+	for _, member := range status.Membership.Members {
+		switch {
+		case listed[member.Name] && member.Voter:
+			voters++
+		case member.Name != status.Name:
+			return false
+		}
+	}
+	return len(listed) > 0 && !listed[status.Name] && voters == len(listed)
+}
+
 // FindSurplus returns the names of the replicas in the membership that the
 // configuration no longer lists. It returns none until every listed replica may
 // vote, so that a wrong list or a replacement that has not joined yet never costs
--- a/control/services/adapter/adapter_test.go
+++ b/control/services/adapter/adapter_test.go
@@ -68,6 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			require.Equal(t, c.want, adapter.FindSurplus(c.status, c.catalog))
+			require.Equal(t, name == "never itself", adapter.IsSurplus(c.status, c.catalog))
 		})
 	}
 }
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -209,6 +209,9 @@
 		case replicator.Read:
 			in.Now = now
 			input = in
+		case replicator.StepDown:
+			in.Now = now
+			input = in
 		case replicator.Remove:
 			in.Now = now
 			input = in
--- a/control/services/driver/proposing.go
+++ b/control/services/driver/proposing.go
@@ -113,6 +113,12 @@
 	_ = d.inputs.TryPush(replicator.Admit{Names: names, Only: only})
 }
 
+// StepDown lets another replica lead, if this one does.
+func (d *Driver) StepDown() {
+	// A full ring drops it; the caller repeats it.
+	_ = d.inputs.TryPush(replicator.StepDown{})
+}
+
 // ReadBarrier waits for all that is committed; see replicator.Proposer.
 func (d *Driver) ReadBarrier(ctx context.Context) error {
 	err := d.await(ctx, func(id uint64) replicator.Input { return replicator.Read{ID: id} }).err
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -52,6 +52,12 @@
 	Name string
 }
 
+// StepDown asks a leader to let another replica lead.
+type StepDown struct {
+	sealedInput
+	Now time.Time
+}
+
 // Admit names the replicas that may join although they are not in the settings.
 type Admit struct {
 	sealedInput
--- a/control/services/replicator/joining.go
+++ b/control/services/replicator/joining.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +20,9 @@
 	// empty has the names of the peers that answered the last request and belong
 	// to no cluster.
 	empty map[string]bool
+	// referred tells that the request was sent to a leader that a peer named. It
+	// is sent on once, so that wrong names cannot make a loop.
+	referred bool
 }
 
 func (m *Machine) isEmpty() bool { return m.membership().Cluster.IsZero() }
@@ -42,20 +47,35 @@
 }
 
 func (m *Machine) handleJoinRequest(from storer.Identity, req *JoinRequest) {
-	m.sendTo(storer.Member{ID: from, Name: req.Name, Address: req.Address},
-		&JoinResponse{Nonce: req.Nonce, Name: m.settings.Name, Empty: m.isEmpty()})
+	resp := &JoinResponse{Nonce: req.Nonce, Name: m.settings.Name, Empty: m.isEmpty()}
+	if leader, ok := m.membership().Get(m.leader); ok && m.role == RoleFollower {
+		resp.Leader = leader.Address
+	}
+	m.sendTo(storer.Member{ID: from, Name: req.Name, Address: req.Address}, resp)
 	if m.role == RoleLeader && len(m.leading.joins) < maxAddresses {
 		m.leading.joins[from] = storer.Member{ID: from, Name: req.Name, Address: req.Address}
 	}
 }
 
 func (m *Machine) handleJoinResponse(_ storer.Identity, resp *JoinResponse) {
-	if resp.Nonce == m.joining.nonce && resp.Empty && m.isEmpty() {
+	if resp.Nonce != m.joining.nonce {
+		return
+	}
+	if resp.Leader.IsValid() && !m.joining.referred && !m.isPeer(resp.Leader) {
+		m.joining.referred = true
+		m.sendTo(storer.Member{Address: resp.Leader}, &JoinRequest{Nonce: m.joining.nonce, Name: m.settings.Name, Address: m.settings.Address})
+	}
+	if resp.Empty && m.isEmpty() {
 		m.joining.empty[resp.Name] = true
 		m.reviewFounding()
 	}
 }
 
+// isPeer reports whether the address is in the settings.
+func (m *Machine) isPeer(address netip.AddrPort) bool {
+	return slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Address == address })
+}
+
 // reviewFounding creates a cluster with this replica as the only voter if all
 // peers are empty. The others join it.
 func (m *Machine) reviewFounding() {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -180,6 +180,9 @@
 	case Remove:
 		m.advance(in.Now)
 		m.remove(in)
+	case StepDown:
+		m.advance(in.Now)
+		m.stepDown()
 	case Admit:
 		m.admitted = in
 	case SnapshotTaken:
@@ -343,6 +346,20 @@
 	}
 }
 
+// stepDownTimeouts is the number of election timeouts after which a leader that
+// stepped down may stand again. The others stand within 2.
+const stepDownTimeouts = 3
+
+// stepDown ends the leadership. Commands that are not committed get an unknown
+// outcome, as after any loss of leadership.
+func (m *Machine) stepDown() {
+	if m.role != RoleLeader {
+		return
+	}
+	m.becomeFollower(m.term, storer.Identity{})
+	m.electionAt = m.now.Add(stepDownTimeouts * m.settings.ElectionTimeout)
+}
+
 func (m *Machine) resetElection() {
 	jitter := time.Duration(m.rng.Int64N(int64(m.settings.ElectionTimeout)))
 	m.electionAt = m.now.Add(m.settings.ElectionTimeout + jitter)
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -162,6 +162,9 @@
 	Name  string
 	// Empty reports that the sender belongs to no cluster.
 	Empty bool
+	// Leader is the address of the leader that the sender follows, if any. The
+	// settings of a replacement do not list the leader that it replaces.
+	Leader netip.AddrPort
 }
 
 // Kind returns KindVoteRequest.
--- a/demo/services/disturber/cluster.go
+++ b/demo/services/disturber/cluster.go
@@ -23,6 +23,8 @@
 	token        = "disturber-token"
 	startTimeout = 30 * time.Second
 	pollPause    = 50 * time.Millisecond
+	// maxAttempts bounds the search for addresses that no other process takes.
+	maxAttempts = 5
 )
 
 // Replica is one control replica, which keeps its addresses over restarts.
@@ -80,13 +82,17 @@
 
 // NewReplica chooses the name and addresses of another replica.
 func (c *Cluster) NewReplica() (*Replica, error) {
-	free, err := starter.FreeAddresses(4)
-	if err != nil {
-		return nil, err
-	}
-	relay, err := NewRelay(free[0], free[1])
-	if err != nil {
-		return nil, err
+	var free []netip.AddrPort
+	var relay *Relay
+	for attempt := 1; relay == nil; attempt++ {
+		var err error
+		if free, err = starter.FreeAddresses(4); err != nil {
+			return nil, err
+		}
+		// Another process may bind the address after it was found free.
+		if relay, err = NewRelay(free[0], free[1]); err != nil && attempt == maxAttempts {
+			return nil, err
+		}
 	}
 	r := &Replica{Name: fmt.Sprintf("control-%d", len(c.Replicas)+1), Address: free[0], bound: free[1], Operator: free[2], admin: free[3], Relay: relay}
 	c.Replicas = append(c.Replicas, r)
--- a/demo/services/disturber/disturber_test.go
+++ b/demo/services/disturber/disturber_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -211,6 +212,7 @@
 
 // Guards against confirmed changes that restarts of all replicas forget.
 func TestRestartsForgetNothing(t *testing.T) {
+	t.Parallel()
 	ctx, c := start(t)
 	_, random := newRandom(t)
 	const changes, restarts = 300, 3
@@ -259,6 +261,7 @@
 // Guards against a second run, or another answer, after the leader that gave the
 // first answer is lost.
 func TestResendAfterLeaderChange(t *testing.T) {
+	t.Parallel()
 	ctx, c := start(t)
 	created := plan(ctx, t, c, "plan", "drain", "manifest-desk/h1")
 	confirmed, err := c.Operate(ctx, "confirm", "confirm", created.ID)
@@ -278,26 +281,34 @@
 }
 
 // Guards against a replacement that never takes part, and against a replaced
-// replica that stays or joins again: it runs on with its old settings.
+// replica that stays, leads on or joins again: it runs on with its old settings.
 func TestReplacedReplicaIsGone(t *testing.T) {
+	t.Parallel()
+	for name, isLeader := range map[string]bool{"follower": false, "leader": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			replaceReplica(t, isLeader)
+		})
+	}
+}
+
+func replaceReplica(t *testing.T, isLeader bool) {
+	t.Helper()
 	ctx, c := start(t)
 	status, err := c.GetStatus(ctx)
 	require.NoError(t, err)
-	var old, kept string
-	for _, r := range c.Replicas {
-		switch {
-		case r.Name == status.Replica:
-		case old == "":
-			old = r.Name
-		default:
-			kept = r.Name
+	old := slices.IndexFunc(c.Replicas, func(r *disturber.Replica) bool { return (r.Name == status.Replica) == isLeader })
+	var members []string
+	for i, r := range c.Replicas {
+		if i != old {
+			members = append(members, r.Name)
 		}
 	}
 	fresh, err := c.NewReplica()
 	require.NoError(t, err)
-	change(ctx, t, c, "replace", "replace-replica", old, fresh.Name, "--address", fresh.Address.String(),
+	change(ctx, t, c, "replace", "replace-replica", c.Replicas[old].Name, fresh.Name, "--address", fresh.Address.String(),
 		"--operator-address", fresh.Operator.String(), "--data-centre", "kano-a")
-	members := []string{status.Replica, kept, fresh.Name}
+	members = append(members, fresh.Name)
 	require.NoError(t, c.StartReplica(fresh, members, false))
 	require.NoError(t, c.WaitSettled(ctx, members...))
 	for range 30 {
@@ -308,7 +319,7 @@
 			require.Equal(t, len(members), v.Members, "the replaced replica joined again")
 		}
 	}
-	c.Get(old).Kill()
-	c.Get(kept).Kill()
+	c.Replicas[old].Kill()
+	c.Get(members[0]).Kill()
 	change(ctx, t, c, "later", "drain", "manifest-desk/h1")
 }
