--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -189,13 +189,13 @@
 	if status.Role != replicator.RoleLeader || !status.HasQuorum {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, membershipPeriod)
+	defer cancel()
 	if adapter.IsSurplus(status, machine.Catalog()) {
-		logger.Info("stepping down, as the configuration no longer lists this replica")
-		replica.StepDown()
+		logger.Info("handing over the lead, as the configuration no longer lists this replica")
+		replica.HandOver(ctx)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, membershipPeriod)
-	defer cancel()
 	for _, name := range adapter.FindSurplus(status, machine.Catalog()) {
 		if err := replica.RemoveReplica(ctx, name); err != nil {
 			counters.Int("replica_removal_failures").Add(1)
@@ -206,7 +206,8 @@
 }
 
 // startReadiness reports ready while a leader with a majority is known.
-func startReadiness(lc fx.Lifecycle, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
+// It stops first, and lets another replica lead.
+func startReadiness(lc fx.Lifecycle, s settings, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
 	ticks := clock.Subscribe("readiness", readyPoll)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -225,11 +226,14 @@
 			}()
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stop context.Context) error {
 			cancel()
 			<-done
 			ticks.Cancel()
 			readiness.Set(false)
+			stop, cancelStop := context.WithTimeout(stop, s.handOverTimeout())
+			defer cancelStop()
+			replica.HandOver(stop)
 			return nil
 		},
 	})
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -52,8 +52,9 @@
 	Name string
 }
 
-// StepDown asks a leader to let another replica lead.
-type StepDown struct {
+// Resign asks a leader to let another replica lead, before a planned stop. Open
+// proposals are finished, new ones are refused.
+type Resign struct {
 	sealedInput
 	Now time.Time
 }
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -80,7 +80,7 @@
 
 // Counts are events since the start. They only grow.
 type Counts struct {
-	Elections, TermsLed, MessagesRefused, LateResponses, SnapshotsSent, SnapshotsInstalled,
+	Elections, TermsLed, HandOvers, MessagesRefused, LateResponses, SnapshotsSent, SnapshotsInstalled,
 	MembershipChanges, Verifications, WeakVerifications, JoinsRefused uint64
 }
 
@@ -180,9 +180,9 @@
 	case Remove:
 		m.advance(in.Now)
 		m.remove(in)
-	case StepDown:
+	case Resign:
 		m.advance(in.Now)
-		m.stepDown()
+		m.resign()
 	case Admit:
 		m.admitted = in
 	case SnapshotTaken:
@@ -207,7 +207,7 @@
 		return
 	}
 	if !m.now.Before(m.electionAt) || m.isAlone() {
-		m.startElection(true)
+		m.startElection(true, false)
 	}
 }
 
@@ -249,6 +249,8 @@
 		m.handleJoinRequest(env.From, msg)
 	case *JoinResponse:
 		m.handleJoinResponse(env.From, msg)
+	case *HandOver:
+		m.handleHandOver(env.From, msg)
 	}
 }
 
@@ -346,20 +348,6 @@
 	}
 }
 
-// stepDownTimeouts is the number of election timeouts after which a leader that
-// stepped down may stand again. The others stand within 2.
-const stepDownTimeouts = 3
-
-// stepDown ends the leadership. Commands that are not committed get an unknown
-// outcome, as after any loss of leadership.
-func (m *Machine) stepDown() {
-	if m.role != RoleLeader {
-		return
-	}
-	m.becomeFollower(m.term, storer.Identity{})
-	m.electionAt = m.now.Add(stepDownTimeouts * m.settings.ElectionTimeout)
-}
-
 func (m *Machine) resetElection() {
 	jitter := time.Duration(m.rng.Int64N(int64(m.settings.ElectionTimeout)))
 	m.electionAt = m.now.Add(m.settings.ElectionTimeout + jitter)
--- a/entry/routers/announcements/announcements.go
+++ b/entry/routers/announcements/announcements.go
@@ -18,7 +18,7 @@
 	"strings"
 	"time"
 
-	"github.com/redwingledge/redwingledge/entry/services/leaser"
+	"github.com/redwingledge/redwingledge/entry/services/steward"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
@@ -35,7 +35,7 @@
 // Announcer applies checked announcements.
 type Announcer interface {
 	// Announce returns an error if the announcement cannot be taken in now.
-	Announce(ctx context.Context, a announcer.Announcement) (leaser.Answered, error)
+	Announce(ctx context.Context, a announcer.Announcement) (steward.Answered, error)
 	// Lease returns how long an announcement stays in force.
 	Lease() time.Duration
 }
@@ -116,6 +116,9 @@
 	case err != nil:
 		w.Header().Set("Retry-After", "1")
 		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonBusy, Detail: err.Error()})
+	case answer.NotJoined:
+		w.Header().Set("Retry-After", "1")
+		h.refuse(w, problem{Status: http.StatusServiceUnavailable, Reason: reasonNotJoined, Detail: "this entry does not know the records yet; use another one"})
 	case answer.Stale:
 		h.refuse(w, problem{Status: http.StatusConflict, Reason: reasonStale, Detail: "a later announcement is already known"})
 	case answer.AddressUser != announcer.ID{}:
--- a/entry/services/placer/census.go
+++ b/entry/services/placer/census.go
@@ -18,10 +18,11 @@
 func (m *Machine) CountFlows() []FlowCount {
 	flows := make([]int64, len(m.backends))
 	m.cache.Each(m.sec, func(line *tracker.Line) {
-		if line.Flags&(tracker.FlagClosed|tracker.FlagOnlySYN) != 0 || int(line.Service) >= len(m.services) {
+		if line.Flags&(tracker.FlagClosed|tracker.FlagOnlySYN) != 0 {
 			return
 		}
-		if m.owner(m.services[line.Service], line.Fingerprint) == self {
+		service := m.backends[line.Target].service
+		if int(service) < len(m.services) && m.owner(m.services[service], line.Fingerprint) == self {
 			flows[line.Target]++
 		}
 	})
--- a/gateway/routers/gateway_test.go
+++ b/gateway/routers/gateway_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,32 +117,52 @@
 }
 
 // Guards against false reports for a backend server that cannot be reached at
-// all: nothing can have run.
+// all: nothing can have run. The address is new, because a request on a kept
+// connection that is being closed may have run.
 func TestUnreachableBackendIsNotRun(t *testing.T) {
 	t.Parallel()
-	b := newBackend(t)
-	c := newCluster(t, 1, b)
-	b.server.CloseClientConnections()
-	b.server.Close()
-	a := c.send(t, 0, http.MethodPost, "x", "", http.Header{"Request-Timeout": {"0.5"}})
-	require.Equal(t, recorder.ValueNotRun, a.outcome)
+	c := newCluster(t, 1, newBackend(t))
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	view := c.view
+	view.Backends = slices.Clone(view.Backends)
+	view.Backends[0].Address = netip.MustParseAddrPort(closed.Addr().String())
+	view.Backends[0].Incarnation++
+	c.source.set(view)
+	require.Eventually(t, func() bool {
+		a := c.send(t, 0, http.MethodGet, "", "", http.Header{"Request-Timeout": {"0.5"}})
+		return a.status != http.StatusOK
+	}, 5*time.Second, time.Millisecond)
+	for range 3 {
+		a := c.send(t, 0, http.MethodPost, "x", "", http.Header{"Request-Timeout": {"0.5"}})
+		require.Equal(t, recorder.ValueNotRun, a.outcome)
+	}
 }
 
-// Guards against requests that a planned stop cuts.
+// Guards against requests that a planned stop cuts: those accepted before it,
+// and those that callers send until they learn that the gateway is not ready.
 func TestStopFinishesAcceptedRequests(t *testing.T) {
 	t.Parallel()
 	b := newBackend(t)
 	c := newCluster(t, 3, b)
-	b.delay = 200 * time.Millisecond
+	b.delay = 50 * time.Millisecond
 	var done sync.WaitGroup
-	for range 4 {
+	var stopped, answered atomic.Int64
+	for range 6 {
 		done.Go(func() {
-			if a := c.send(t, 0, http.MethodPost, "x", "", nil); a.status != http.StatusOK {
-				t.Errorf("got status %d, error %v, %s", a.status, a.err, a.body)
+			for stopped.Load() == 0 {
+				if a := c.send(t, 0, http.MethodPost, "x", "", nil); a.status != http.StatusOK {
+					t.Errorf("got status %d, error %v, %s", a.status, a.err, a.body)
+				}
+				answered.Add(1)
 			}
 		})
 	}
-	time.Sleep(100 * time.Millisecond)
+	require.Eventually(t, func() bool { return answered.Load() > 6 }, 10*time.Second, time.Millisecond)
+	// Callers learn of the stop half-way through the drain delay.
+	time.AfterFunc(drainDelay/2, func() { stopped.Store(1) })
 	require.NoError(t, c.gateways[0].Stop(context.Background()))
+	require.EqualValues(t, 1, stopped.Load(), "the drain delay must pass before connections are closed")
 	done.Wait()
 }
