--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -191,6 +191,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, membershipPeriod)
 	defer cancel()
+	if adapter.IsSurplus(status, machine.Catalog()) {
+		logger.Info("handing over the lead, as the configuration no longer lists this replica")
+		replica.HandOver(ctx)
+		return
+	}
 	for _, name := range adapter.FindSurplus(status, machine.Catalog()) {
 		if err := replica.RemoveReplica(ctx, name); err != nil {
 			counters.Int("replica_removal_failures").Add(1)
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -165,6 +165,9 @@
 	Name  string
 	// Empty reports that the sender belongs to no cluster.
 	Empty bool
+	// Leader is the address of the leader that the sender follows, if any. The
+	// settings of a replacement do not list the leader that it replaces.
+	Leader netip.AddrPort
 }
 
 // HandOver asks a replica that has the whole log to lead at once.
