Announce gateways as targets of the packet path

Cause: entries could not carry callers' connections to gateways, because a gateway did not announce itself. Ruled out: a special kind of target in the entries, because a gateway is drained and watched like any backend server. Change: the client of the announcement endpoint moves from the demonstration to shared/services/registrant and serves both; the gateway announces itself as a backend server of a flow service and as draining at a stop. Conclusion: the packet leg to gateways is proved up to the kernel's TCP.

--- a/demo/cmd/rwdemo/main.go
+++ b/demo/cmd/rwdemo/main.go
@@ -86,6 +86,9 @@
 	if err := system.StartGateway(ctx); err != nil {
 		return err
 	}
+	if err := system.ConnectToGateway(ctx, show); err != nil {
+		return err
+	}
 	if err := system.SendOrders(ctx, show); err != nil {
 		return err
 	}
--- a/demo/services/demonstrator/control.go
+++ b/demo/services/demonstrator/control.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,7 +120,7 @@
 		fmt.Fprintf(&b, "  - name: %s\n    region: %s\n", name, region)
 	}
 	b.WriteString("services:\n")
-	for _, kind := range kinds {
+	for _, kind := range append(slices.Clone(kinds), Front()) {
 		protocol := "udp"
 		if kind.IsTCP {
 			protocol = "tcp"
--- a/demo/services/demonstrator/demonstrator_test.go
+++ b/demo/services/demonstrator/demonstrator_test.go
@@ -137,3 +137,12 @@
 	pause(t, watchTime)
 	requireNoneBroken(t, loads)
 }
+
+// Guards against a gateway that entries do not know as a target, orders that run
+// twice when they are sent twice, and slots that are exceeded.
+func TestGateway(t *testing.T) {
+	ctx, system := start(t, 2)
+	require.NoError(t, system.StartGateway(ctx))
+	require.NoError(t, system.ConnectToGateway(ctx, func(text string) { t.Log(text) }))
+	require.NoError(t, system.SendOrders(ctx, func(text string) { t.Log(text) }))
+}
--- a/demo/services/demonstrator/requests.go
+++ b/demo/services/demonstrator/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,10 +11,10 @@
 	"strings"
 	"time"
 
-	"github.com/redwingledge/redwingledge/demo/services/announcer"
+	"github.com/redwingledge/redwingledge/demo/services/responder"
 	"github.com/redwingledge/redwingledge/demo/services/starter"
 	"github.com/redwingledge/redwingledge/demo/services/worker"
-	shared "github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
 )
 
 const (
@@ -24,8 +25,18 @@
 	workDuration   = 20 * time.Millisecond
 	orders         = 20
 	requestTimeout = 10 * time.Second
+	frontPort      = 30000
+	frontFlows     = 8
 )
 
+// Front is the kind of flow that reaches the gateway.
+func Front() Kind {
+	return Kind{
+		Name: "TCP to the gateway", IsTCP: true, Caller: netip.MustParseAddr("203.0.113.8"),
+		Address: netip.MustParseAddrPort("192.0.2.9:80"), Service: "front",
+	}
+}
+
 // gatewayAddresses are those of the gateway.
 type gatewayAddresses struct {
 	admin, http, peer netip.AddrPort
@@ -38,13 +49,18 @@
 			return err
 		}
 	}
+	token, err := s.writeFile("service-token", serviceToken)
+	if err != nil {
+		return err
+	}
 	arguments := []string{
 		"--name", gatewayName, "--http-address", s.gatewayAddresses.http.String(), "--peer-address", s.gatewayAddresses.peer.String(),
-		"--first-start", "--drain-delay", "1s",
+		"--first-start", "--drain-delay", "1s", "--data-centre", dataCentre(0),
+		"--announce-service", Front().Service, "--announce-token-file", token,
 	}
 	s.mu.Lock()
 	for _, entry := range s.entries {
-		arguments = append(arguments, "--entry", entry.grpc.String())
+		arguments = append(arguments, "--entry", entry.grpc.String(), "--announce-to", entry.announce.String())
 	}
 	s.mu.Unlock()
 	process, err := starter.Start(gatewayName, s.program("gateway"), s.settings.Folder, s.gatewayAddresses.admin, arguments...)
@@ -57,6 +73,24 @@
 	return process.WaitReady(ctx)
 }
 
+// ConnectToGateway opens flows to the front service, whose only backend server is
+// the gateway by its own announcement. A stand-in answers at the gateway's address,
+// because packets of the fabric do not reach the TCP of the kernel here.
+func (s *System) ConnectToGateway(ctx context.Context, show func(string)) error {
+	address := s.gatewayAddresses.http
+	s.fabric.Attach(address.Addr(), responder.NewServer(Front().Service, gatewayName, address, s.fabric))
+	load, err := s.OpenFlows(ctx, Front(), frontPort, frontFlows)
+	if err != nil {
+		return err
+	}
+	hosts := load.Hosts()
+	if _, failures := load.Finish(); len(failures) > 0 {
+		return fmt.Errorf("flows to the gateway failed: %w", errors.Join(failures...))
+	}
+	show(fmt.Sprintf("%d flows to the front service reached %v\n", frontFlows, hosts))
+	return nil
+}
+
 // SendOrders sends orders with idempotency keys, each of them twice, and returns
 // an error unless each ran exactly once and both answers say so.
 func (s *System) SendOrders(ctx context.Context, show func(string)) error {
@@ -98,11 +132,10 @@
 	}
 	s.workers = append(s.workers, w)
 	s.running.Go(w.Serve)
-	announced := announcer.New(shared.Announcement{
-		ID: shared.ID{Service: requestService, Host: host}, Address: w.Addr(), DataCentre: dataCentre,
-		Slots: workerSlots, Connections: 2000, Incarnation: uint64(time.Now().UnixMilli()), State: shared.StateReady,
-	}, serviceToken, s.announceAddresses)
-	s.running.Go(func() { announced.Run(s.ctx) })
+	announced := s.register(announcer.Announcement{
+		ID: announcer.ID{Service: requestService, Host: host}, Address: w.Addr(), DataCentre: dataCentre,
+		Slots: workerSlots, Connections: 2000,
+	})
 	return announced.Announce(ctx)
 }
 
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -17,13 +17,14 @@
 	"syscall"
 	"time"
 
-	"github.com/redwingledge/redwingledge/demo/services/announcer"
 	"github.com/redwingledge/redwingledge/demo/services/dialer"
 	"github.com/redwingledge/redwingledge/demo/services/responder"
 	"github.com/redwingledge/redwingledge/demo/services/sprayer"
 	"github.com/redwingledge/redwingledge/demo/services/starter"
 	"github.com/redwingledge/redwingledge/demo/services/worker"
-	shared "github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/services/registrant"
 )
 
 const (
@@ -65,7 +66,7 @@
 // backend is a stand-in backend server.
 type backend struct {
 	*responder.Server
-	announcer *announcer.Announcer
+	registrant *registrant.Registrant
 }
 
 // System is a running system. Its methods must not be called concurrently.
@@ -73,7 +74,7 @@
 	settings Settings
 	fabric   *sprayer.Sprayer
 	callers  map[netip.Addr]*dialer.Caller
-	backends map[shared.ID]*backend
+	backends map[announcer.ID]*backend
 	control  *starter.Process
 	gateway  *starter.Process
 	workers  []*worker.Worker
@@ -102,7 +103,7 @@
 	s := &System{
 		settings: settings, fabric: fabric,
 		callers:   make(map[netip.Addr]*dialer.Caller),
-		backends:  make(map[shared.ID]*backend),
+		backends:  make(map[announcer.ID]*backend),
 		entries:   make(map[string]*entryProcess),
 		addresses: make(map[string]entryAddresses),
 		ctx:       background, cancel: cancel,
@@ -218,21 +219,30 @@
 
 // AddBackend runs a stand-in backend server and announces it as ready.
 func (s *System) AddBackend(ctx context.Context, service, host, dataCentre string, address netip.AddrPort) error {
-	id := shared.ID{Service: service, Host: host}
+	id := announcer.ID{Service: service, Host: host}
 	server := responder.NewServer(service, host, address, s.fabric)
 	s.fabric.Attach(address.Addr(), server)
-	announced := announcer.New(shared.Announcement{
+	announced := s.register(announcer.Announcement{
 		ID: id, Address: address, DataCentre: dataCentre, Slots: 2, Connections: 2000,
-		Incarnation: uint64(time.Now().UnixMilli()), State: shared.StateReady,
-	}, serviceToken, s.announceAddresses)
-	s.backends[id] = &backend{Server: server, announcer: announced}
-	s.running.Go(func() { announced.Run(s.ctx) })
+	})
+	s.backends[id] = &backend{Server: server, registrant: announced}
 	return announced.Announce(ctx)
 }
 
+// register keeps a backend server announced as ready until the system stops.
+func (s *System) register(announcement announcer.Announcement) *registrant.Registrant {
+	announcement.Incarnation = uint64(time.Now().UnixMilli())
+	announcement.State = announcer.StateReady
+	r := registrant.New(registrant.Options{
+		Announcement: announcement, Token: serviceToken, Entries: s.announceAddresses, Timer: timer.NewSystem(),
+	})
+	s.running.Go(func() { r.Run(s.ctx) })
+	return r
+}
+
 // BackendStats returns the counts of a stand-in backend server.
 func (s *System) BackendStats(service, host string) responder.Stats {
-	known, ok := s.backends[shared.ID{Service: service, Host: host}]
+	known, ok := s.backends[announcer.ID{Service: service, Host: host}]
 	if !ok {
 		return responder.Stats{}
 	}
--- a/gateway/cmd/gateway/main.go
+++ b/gateway/cmd/gateway/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -35,17 +36,16 @@
 	} else if err != nil {
 		return err
 	}
-	return runner.Run(context.Background(), s.Common, os.Stderr, fx.Supply(&s), fx.Provide(newGateway), fx.Invoke(start))
+	return runner.Run(context.Background(), s.Common, os.Stderr, fx.Supply(&s), fx.Provide(loadTLS, newGateway), fx.Invoke(start, startAnnouncing))
 }
 
-func newGateway(s *settings, clock timer.Service, counters *reporter.Counters, readiness *reporter.Readiness,
+func loadTLS(s *settings) (*tls.Config, error) { return s.Load() }
+
+func newGateway(s *settings, certificates *tls.Config, clock timer.Service, counters *reporter.Counters, readiness *reporter.Readiness,
 	registry *registrar.Registry, logger *slog.Logger,
 ) (*routers.Gateway, error) {
 	config := s.config()
-	var err error
-	if config.TLS, err = s.Load(); err != nil {
-		return nil, err
-	}
+	config.TLS = certificates
 	config.Source = watcher.NewFileSource(s.ViewFile)
 	if len(s.Entries) > 0 {
 		config.Source = watcher.NewEntrySource(s.Name, s.Entries, transporter.NewPool(config.TLS))
--- a/gateway/cmd/gateway/settings.go
+++ b/gateway/cmd/gateway/settings.go
@@ -18,6 +18,8 @@
 type settings struct {
 	runner.Common `embed:""`
 
+	announceSettings `embed:""`
+
 	Version kong.VersionFlag `name:"version" help:"Print the version and exit."`
 
 	Name        string           `name:"name" env:"REDWINGLEDGE_NAME" required:"" help:"Name of this gateway in the configuration."`
@@ -80,6 +82,7 @@
 	positive("slot-lease", s.Lease >= 100*time.Millisecond)
 	positive("view-spread", s.ViewSpread > 0)
 	s.checkRanges(problems)
+	s.checkAnnounce(problems)
 }
 
 func (s *settings) checkRanges(problems *setting.Problems) {
--- /dev/null
+++ b/shared/services/registrant/registrant_test.go
@@ -0,0 +1,50 @@
+package registrant_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/services/registrant"
+)
+
+// Guards against a backend server that gives up when one entry is gone, and
+// against a repeated sequence, which entries refuse.
+func TestAnnounceTriesAllEntries(t *testing.T) {
+	t.Parallel()
+	var got []announcer.Announcement
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a announcer.Announcement
+		if r.Header.Get("Authorization") != "Bearer secret" || json.NewDecoder(r.Body).Decode(&a) != nil {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		got = append(got, a)
+	}))
+	defer entry.Close()
+	dead := netip.MustParseAddrPort("127.0.0.1:1")
+	options := registrant.Options{
+		Announcement: announcer.Announcement{ID: announcer.ID{Service: "s", Host: "h"}, State: announcer.StateReady},
+		Token:        "secret",
+		Entries: func() []netip.AddrPort {
+			return []netip.AddrPort{dead, netip.MustParseAddrPort(strings.TrimPrefix(entry.URL, "http://")), dead}
+		},
+		Timer: timer.NewSystem(),
+	}
+	r := registrant.New(options)
+	require.NoError(t, r.Announce(t.Context()))
+	require.NoError(t, r.SetState(t.Context(), announcer.StateDraining))
+	require.Len(t, got, 2)
+	require.Less(t, got[0].Sequence, got[1].Sequence)
+	require.Equal(t, announcer.StateDraining, got[1].State)
+
+	options.Token = "wrong"
+	require.ErrorContains(t, registrant.New(options).Announce(t.Context()), "403")
+}
