--- a/entry/cmd/entry/settings.go
+++ b/entry/cmd/entry/settings.go
@@ -40,7 +40,7 @@
 
 	Lease      time.Duration `name:"lease" env:"REDWINGLEDGE_LEASE" default:"10s" help:"Time after which a backend server that has not announced itself again gets no new flows, 1s to 10m."`
 	Flows      int           `name:"flows" env:"REDWINGLEDGE_FLOWS" default:"400000" help:"Flows in the cache, 1024 to 16777216; about 48 bytes each."`
-	Hold       time.Duration `name:"hold" env:"REDWINGLEDGE_HOLD" default:"1s" help:"Time from hearing of a change of backend servers until new flows follow it, at most 10s. It must be longer than gossip takes to reach all entries."`
+	Hold       time.Duration `name:"hold" env:"REDWINGLEDGE_HOLD" default:"1s" help:"Time from hearing of a change of backend servers until new flows follow it, at most 10s. It must be twice the time that gossip takes to reach all entries: 1s up to 16 entries, 3s above."`
 	DrainDelay time.Duration `name:"drain-delay" env:"REDWINGLEDGE_DRAIN_DELAY" default:"3s" help:"Time for which packets are still forwarded after readiness is off, at most 5m. It must be longer than the fabric takes to stop."`
 	Seed       uint64        `name:"random-seed" env:"REDWINGLEDGE_RANDOM_SEED" help:"Seed of random choices; 0 takes one from the clock."`
 
--- a/entry/routers/decider/decider.go
+++ b/entry/routers/decider/decider.go
@@ -61,6 +61,8 @@
 	running   sync.WaitGroup
 	observeAt time.Time
 	ready     atomic.Bool
+	// outbox holds the messages of the current batch by peer.
+	outbox map[string][]messenger.Message
 
 	queueFull, messagesDropped *expvar.Int
 	placement                  placementCounters
@@ -76,6 +78,7 @@
 	return &Decider{
 		forwarder: f, machine: machine, peers: peers, timer: clock, logger: logger,
 		ring: buffer.NewRing[work](ringSize), left: make(chan struct{}),
+		outbox:          make(map[string][]messenger.Message),
 		queueFull:       counters.Int("packets_dropped_queue_full"),
 		messagesDropped: counters.Int("placement_messages_dropped"),
 		placement: placementCounters{
@@ -179,6 +182,7 @@
 			d.do(now, batch[i])
 			batch[i] = work{}
 		}
+		d.sendMessages()
 		d.ready.Store(d.machine.IsReady())
 		d.report(now)
 	}
@@ -197,9 +201,7 @@
 	for _, output := range d.forwarder.HandleInput(now, next.input) {
 		switch out := output.(type) {
 		case placer.SendMessage:
-			if !d.peers.Send(out.To, out.Message) {
-				d.messagesDropped.Add(1)
-			}
+			d.outbox[out.To] = append(d.outbox[out.To], out.Message)
 		case placer.StateChanged:
 			d.logger.Info(string(out.Event), "service", out.Service, "buckets", out.Buckets)
 		case placer.LeaveCompleted:
@@ -208,6 +210,17 @@
 	}
 }
 
+// sendMessages sends the messages of one batch of work, one call for each peer,
+// because a call costs about 240 bytes beyond its messages.
+func (d *Decider) sendMessages() {
+	for to, messages := range d.outbox {
+		if !d.peers.Send(to, messages...) {
+			d.messagesDropped.Add(int64(len(messages)))
+		}
+		delete(d.outbox, to)
+	}
+}
+
 // report passes on what the backend servers answered since the last report.
 func (d *Decider) report(now time.Time) {
 	if now.Before(d.observeAt) {
