Share the start of servers between the programs

Cause: four services started a server in the same ten lines. Change: runner.AppendServer; an entry now ends its membership before its gRPC server, as before, in two hooks.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -19,6 +19,7 @@
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -106,19 +107,9 @@
 	if err != nil {
 		return err
 	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				if err := server.Serve(); err != nil {
-					logger.Error("gRPC server failed", "error", err)
-				}
-			}()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			server.GracefulStop(ctx)
-			return nil
-		},
+	runner.AppendServer(lc, logger, "gRPC server", server.Serve, func(ctx context.Context) error {
+		server.GracefulStop(ctx)
+		return nil
 	})
 	return nil
 }
--- a/entry/cmd/entry/services.go
+++ b/entry/cmd/entry/services.go
@@ -24,6 +24,7 @@
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/runner"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -94,19 +95,17 @@
 	if err != nil {
 		return fmt.Errorf("read the bound gRPC address: %w", err)
 	}
+	runner.AppendServer(lc, logger, "gRPC server", server.Serve, func(ctx context.Context) error {
+		server.GracefulStop(ctx)
+		return nil
+	})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() {
-				if err := server.Serve(); err != nil {
-					logger.Error("gRPC server failed", "error", err)
-				}
-			}()
 			service.Start(address)
 			return nil
 		},
-		OnStop: func(ctx context.Context) error {
+		OnStop: func(context.Context) error {
 			service.Stop()
-			server.GracefulStop(ctx)
 			return nil
 		},
 	})
@@ -179,17 +178,7 @@
 	if err != nil {
 		return err
 	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				if err := server.Serve(); err != nil {
-					logger.Error("announcement server failed", "error", err)
-				}
-			}()
-			return nil
-		},
-		OnStop: server.Shutdown,
-	})
+	runner.AppendServer(lc, logger, "announcement server", server.Serve, server.Shutdown)
 	return nil
 }
 
--- a/shared/modules/runner/runner.go
+++ b/shared/modules/runner/runner.go
@@ -99,17 +99,7 @@
 	if err != nil {
 		return err
 	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			logger.Info("admin server listens", "address", server.Addr())
-			go func() {
-				if err := server.Serve(); err != nil {
-					logger.Error("admin server failed", "error", err)
-				}
-			}()
-			return nil
-		},
-		OnStop: server.Shutdown,
-	})
+	logger.Info("admin server listens", "address", server.Addr())
+	AppendServer(lc, logger, "admin server", server.Serve, server.Shutdown)
 	return nil
 }
