Send the announcements of a backend server in order

Ruled out: taking a stale answer as success, because another process under the same name gives the same answer. Change: announcements are sent one at a time; a test sends 50 at once. Conclusion: an announcement is never overtaken by a later one.

--- a/shared/services/registrant/registrant.go
+++ b/shared/services/registrant/registrant.go
@@ -50,6 +50,10 @@
 	client  *http.Client
 	scheme  string
 
+	// sending is held during an announcement, so that a later one never overtakes
+	// it: entries refuse the older sequence as stale.
+	sending sync.Mutex
+
 	mu           sync.Mutex
 	announcement announcer.Announcement
 }
@@ -93,6 +97,8 @@
 // Announce sends the announcement to the entries in random order until one takes
 // it. It returns the errors of all entries if none does.
 func (r *Registrant) Announce(ctx context.Context) error {
+	r.sending.Lock()
+	defer r.sending.Unlock()
 	r.mu.Lock()
 	r.announcement.Sequence++
 	announcement := r.announcement
--- a/shared/services/registrant/registrant_test.go
+++ b/shared/services/registrant/registrant_test.go
@@ -6,7 +6,9 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -48,3 +50,39 @@
 	options.Token = "wrong"
 	require.ErrorContains(t, registrant.New(options).Announce(t.Context()), "403")
 }
+
+// Guards against a renewal that overtakes another announcement, which entries then
+// refuse as stale.
+func TestAnnouncementsKeepTheirOrder(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	var last uint64
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a announcer.Announcement
+		if json.NewDecoder(r.Body).Decode(&a) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		time.Sleep(time.Duration(a.Sequence%3) * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		if a.Sequence <= last {
+			w.WriteHeader(http.StatusConflict)
+		}
+		last = max(last, a.Sequence)
+	}))
+	defer entry.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(entry.URL, "http://"))
+	r := registrant.New(registrant.Options{
+		Announcement: announcer.Announcement{ID: announcer.ID{Service: "s", Host: "h"}},
+		Entries:      func() []netip.AddrPort { return []netip.AddrPort{address} },
+		Timer:        timer.NewSystem(),
+	})
+	errs := make(chan error, 50)
+	for range cap(errs) {
+		go func() { errs <- r.Announce(t.Context()) }()
+	}
+	for range cap(errs) {
+		require.NoError(t, <-errs)
+	}
+}
