Copy the hashes of records into the messages of an exchange

Cause: SyncBuckets shared the array of hashes with the machine, and the sender encodes it later; the race detector found it in a fresh clone in TestEntriesShareOneView. Ruled out: encoding inside the step, because the machine has no codec. Conclusion: messages no longer share memory with the membership machine.

--- a/entry/services/gossiper/exchange.go
+++ b/entry/services/gossiper/exchange.go
@@ -60,7 +60,9 @@
 		return
 	}
 	m.sendPlain(msg.Self.Address, messenger.SyncBuckets{
-		Self: m.self, Members: members[:], Records: m.records.buckets[:],
+		Self: m.self, Members: members[:],
+		// The message is encoded after this step, when the buckets may have changed.
+		Records: slices.Clone(m.records.buckets[:]),
 	})
 }
 
