--- /dev/null
+++ b/control/routers/broadcaster/broadcaster.go
@@ -0,0 +1,71 @@
+// Package broadcaster serves the changes of the director's state to entries as
+// long polls.
+package broadcaster
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	service "github.com/redwingledge/redwingledge/control/services/director"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/transporter"
+)
+
+// maxWait bounds a long poll, so that entries notice soon when a replica has lost
+// the majority.
+const maxWait = 2 * time.Second
+
+// Broadcaster answers the long polls of entries.
+type Broadcaster struct {
+	service  *service.Service
+	counters *reporter.Counters
+}
+
+// New returns a Broadcaster.
+func New(s *service.Service, counters *reporter.Counters) *Broadcaster {
+	return &Broadcaster{service: s, counters: counters}
+}
+
+// Service returns the gRPC service for entries.
+func (b *Broadcaster) Service() *transporter.Service {
+	s := transporter.NewService(director.ServiceName)
+	transporter.Handle(s, "Watch", b.watch)
+	return s
+}
+
+// watch returns the changes after the entry's index as soon as there are any. It
+// fails while this replica hears no leader with a majority, so that entries turn
+// to another replica.
+func (b *Broadcaster) watch(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
+	deadline, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWait))
+	defer cancel()
+	for {
+		if !b.service.IsCurrent() {
+			b.counters.Int("watches_refused_not_current").Add(1)
+			return nil, status.Error(codes.Unavailable, "this replica hears no leader with a majority")
+		}
+		machine := b.service.Machine()
+		changed := machine.Changed()
+		changes, reached, complete := machine.Since(req.Index)
+		if len(changes) > 0 || deadline.Err() != nil {
+			return b.answer(changes, reached, complete), nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.Done():
+		}
+	}
+}
+
+func (b *Broadcaster) answer(changes []director.Change, reached uint64, complete bool) *director.WatchResponse {
+	resp := &director.WatchResponse{Index: reached, Complete: complete, Replicas: b.service.Replicas()}
+	for _, change := range changes {
+		resp.Changes = append(resp.Changes, director.Wrap(change))
+	}
+	b.counters.Int("watches_answered").Add(1)
+	return resp
+}
--- /dev/null
+++ b/control/services/director/errors.go
@@ -0,0 +1,56 @@
+package director
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrStaleAnnouncement reports an announcement that is older than what is known,
+// such as one that was delayed until after its sender had ended.
+type ErrStaleAnnouncement struct {
+	Host   string
+	Reason string
+}
+
+// Error returns the message of the error.
+func (e ErrStaleAnnouncement) Error() string {
+	return fmt.Sprintf("announcement of %q is stale: %s", e.Host, e.Reason)
+}
+
+// IsErrStaleAnnouncement reports whether err is an ErrStaleAnnouncement.
+func IsErrStaleAnnouncement(err error) bool {
+	var target ErrStaleAnnouncement
+	return errors.As(err, &target)
+}
+
+// ErrInvalidDeclaration reports a declaration that cannot be put in force.
+type ErrInvalidDeclaration struct {
+	Reason string
+}
+
+// Error returns the message of the error.
+func (e ErrInvalidDeclaration) Error() string { return "the declaration is invalid: " + e.Reason }
+
+// IsErrInvalidDeclaration reports whether err is an ErrInvalidDeclaration.
+func IsErrInvalidDeclaration(err error) bool {
+	var target ErrInvalidDeclaration
+	return errors.As(err, &target)
+}
+
+// ErrServiceNotExist reports an announcement for a service that is not declared.
+type ErrServiceNotExist struct {
+	Service string
+	// Version is that of the declaration in force; 0 if there is none.
+	Version uint64
+}
+
+// Error returns the message of the error.
+func (e ErrServiceNotExist) Error() string {
+	return fmt.Sprintf("service %q does not exist in configuration %d", e.Service, e.Version)
+}
+
+// IsErrServiceNotExist reports whether err is an ErrServiceNotExist.
+func IsErrServiceNotExist(err error) bool {
+	var target ErrServiceNotExist
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/control/services/director/service.go
@@ -0,0 +1,241 @@
+package director
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// Settings are the constants of a Service.
+type Settings struct {
+	// Lease is how long an announcement holds without another one.
+	Lease time.Duration
+	// MinVoters is the number of replicas that must vote before anything is
+	// accepted, so that what is accepted survives the loss of a disk.
+	MinVoters int
+}
+
+// sweepPeriod is the time between two checks of the leases.
+const sweepPeriod = 500 * time.Millisecond
+
+// sweepTimeout bounds the commit of expired leases; they are checked again after.
+const sweepTimeout = time.Second
+
+// Service accepts declarations, announcements and data centre changes on the
+// replica that leads. It is safe for concurrent use.
+type Service struct {
+	settings Settings
+	replica  replicator.Proposer
+	machine  func() *Machine
+	clock    timer.Service
+	logger   *slog.Logger
+
+	mu sync.Mutex
+	// leases hold the time of the newest announcement, by token.
+	leases map[director.Token]time.Time
+	// ended holds when this leader first saw that a backend server had ended.
+	ended map[director.Token]time.Time
+	// leadingSince is when the leases of all backend servers began anew; zero
+	// while another replica leads.
+	leadingSince time.Time
+	sweptAt      time.Time
+}
+
+// NewService returns a Service. The machine may change when the replica restarts.
+func NewService(settings Settings, replica replicator.Proposer, machine func() *Machine, clock timer.Service, logger *slog.Logger) *Service {
+	return &Service{
+		settings: settings, replica: replica, machine: machine, clock: clock, logger: logger,
+		leases: make(map[director.Token]time.Time), ended: make(map[director.Token]time.Time),
+	}
+}
+
+// Declare puts a declaration in force, unless a newer one is. Errors are those of
+// replicator.Proposer and of Declaration.Check.
+func (s *Service) Declare(ctx context.Context, declaration director.Declaration) error {
+	if err := declaration.Check(); err != nil {
+		return ErrInvalidDeclaration{Reason: err.Error()}
+	}
+	return s.propose(ctx, Declare{Declaration: declaration})
+}
+
+// Declared returns the newest declaration that was accepted before the call.
+// Errors are those of replicator.Proposer.ReadBarrier.
+func (s *Service) Declared(ctx context.Context) (director.Declaration, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return director.Declaration{}, fmt.Errorf("read the declaration: %w", err)
+	}
+	return s.machine().Declared(), nil
+}
+
+// TakeOut takes a data centre out or brings it back.
+func (s *Service) TakeOut(ctx context.Context, dataCentre string, takenOut bool) error {
+	return s.propose(ctx, TakeOut{DataCentre: dataCentre, TakenOut: takenOut})
+}
+
+// Announce records an announcement and renews its lease. Errors are those of
+// replicator.Proposer, ErrStaleAnnouncement, and ErrServiceNotExist.
+func (s *Service) Announce(ctx context.Context, a Announcement) error {
+	if err := s.checkLeading(); err != nil {
+		return err
+	}
+	machine := s.machine()
+	if declared := machine.Declared(); !declared.HasService(a.Server.Service) {
+		return ErrServiceNotExist{Service: a.Server.Service, Version: declared.Version}
+	}
+	token, ok := machine.IsKnown(a)
+	if !ok {
+		if err := s.propose(ctx, Announce{Announcements: []Announcement{a}}); err != nil {
+			return err
+		}
+		if token, ok = s.machine().IsKnown(a); !ok {
+			return nil
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[token] = s.clock.Now()
+	return nil
+}
+
+// Withdraw records that a backend server has ended.
+func (s *Service) Withdraw(ctx context.Context, host string, incarnation uint64) error {
+	return s.propose(ctx, Withdraw{Host: host, Incarnation: incarnation})
+}
+
+// Leader returns the gRPC address of the replica that leads, if one is known.
+func (s *Service) Leader() (netip.AddrPort, bool) {
+	status := s.replica.Status()
+	return status.LeaderAddress, status.LeaderAddress.IsValid()
+}
+
+// IsCurrent reports whether this replica hears a leader that has a majority.
+func (s *Service) IsCurrent() bool { return s.replica.Status().HasQuorum }
+
+// Machine returns the replicated state.
+func (s *Service) Machine() *Machine { return s.machine() }
+
+// Replicas returns the gRPC addresses of all replicas.
+func (s *Service) Replicas() []netip.AddrPort {
+	members := s.replica.Status().Membership.Members
+	addresses := make([]netip.AddrPort, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+func (s *Service) checkLeading() error {
+	status := s.replica.Status()
+	switch {
+	case status.Role != replicator.RoleLeader && status.LeaderAddress.IsValid():
+		return replicator.ErrNotLeader{Leader: status.Leader, Address: status.LeaderAddress}
+	case status.Role != replicator.RoleLeader || !status.HasQuorum:
+		return replicator.ErrNoQuorum{Reason: "no leader with a majority is known"}
+	case status.Membership.Voters() < s.settings.MinVoters:
+		return replicator.ErrNoQuorum{Reason: fmt.Sprintf("%d replicas vote, %d are needed", status.Membership.Voters(), s.settings.MinVoters)}
+	}
+	return nil
+}
+
+func (s *Service) propose(ctx context.Context, command Command) error {
+	if err := s.checkLeading(); err != nil {
+		return err
+	}
+	data, err := Encode(command)
+	if err != nil {
+		return err
+	}
+	_, err = s.replica.Propose(ctx, data)
+	return err
+}
+
+// Run expires leases while this replica leads, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticks := s.clock.Subscribe("leases", sweepPeriod)
+	defer ticks.Cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			s.sweep(ctx)
+		}
+	}
+}
+
+func (s *Service) sweep(ctx context.Context) {
+	command, ok := s.findExpired(s.clock.Now(), s.checkLeading() == nil)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	if err := s.propose(ctx, command); err != nil {
+		s.logger.Warn("leases were not expired; they are checked again", "lapsed", len(command.Lapsed), "forget", len(command.Forget), "error", err)
+		return
+	}
+	if len(command.Lapsed) > 0 {
+		s.logger.Info("leases expired", "tokens", command.Lapsed, "lease", s.settings.Lease)
+	}
+}
+
+// findExpired returns the leases that have expired. All leases begin anew when
+// this replica begins to lead and after a pause of the process, as announcements
+// cannot have arrived before.
+func (s *Service) findExpired(now time.Time, isLeading bool) (Expire, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	paused := now.Sub(s.sweptAt) > 2*sweepPeriod
+	s.sweptAt = now
+	if !isLeading {
+		s.leadingSince = time.Time{}
+		return Expire{}, false
+	}
+	if s.leadingSince.IsZero() || paused {
+		s.leadingSince = now
+		clear(s.leases)
+	}
+	var command Expire
+	tokens := make(map[director.Token]bool)
+	for _, server := range s.machine().Servers() {
+		tokens[server.Token] = true
+		if server.IsLive() {
+			delete(s.ended, server.Token)
+			if now.Sub(latest(s.leases[server.Token], s.leadingSince)) > s.settings.Lease {
+				command.Lapsed = append(command.Lapsed, server.Token)
+			}
+			continue
+		}
+		if _, ok := s.ended[server.Token]; !ok {
+			s.ended[server.Token] = now
+		}
+		if now.Sub(s.ended[server.Token]) > goneRetention {
+			command.Forget = append(command.Forget, server.Token)
+		}
+	}
+	for token := range s.leases {
+		if !tokens[token] {
+			delete(s.leases, token)
+		}
+	}
+	for token := range s.ended {
+		if !tokens[token] {
+			delete(s.ended, token)
+		}
+	}
+	return command, len(command.Lapsed)+len(command.Forget) > 0
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/control/services/driver/delivering.go
+++ b/control/services/driver/delivering.go
@@ -30,13 +30,18 @@
 }
 
 // Service returns the gRPC service redwingledge.control.Replica.
-func (d *Driver) Service() *transporter.Service {
+func (d *Driver) Service() *transporter.Service { return NewService(d.Deliver) }
+
+// NewService returns the gRPC service redwingledge.control.Replica with another
+// receiver of the messages.
+func NewService(deliver func(context.Context, *Delivery) (*Receipt, error)) *transporter.Service {
 	s := transporter.NewService(serviceName)
-	transporter.Handle(s, "Deliver", d.deliver)
+	transporter.Handle(s, "Deliver", deliver)
 	return s
 }
 
-func (d *Driver) deliver(ctx context.Context, delivery *Delivery) (*Receipt, error) {
+// Deliver takes messages of other replicas. Errors carry a gRPC status.
+func (d *Driver) Deliver(ctx context.Context, delivery *Delivery) (*Receipt, error) {
 	if d.options.TLS != nil && !d.isReplica(transporter.PeerCommonName(ctx)) {
 		d.metrics.callersRefused.Add(1)
 		return nil, status.Error(codes.PermissionDenied, errWrongCaller.Error())
--- a/control/services/replicator/joining.go
+++ b/control/services/replicator/joining.go
@@ -14,6 +14,11 @@
 // joinPeriods is the number of heartbeats between requests to join.
 const joinPeriods = 5
 
+// forgottenPeriods is the number of election timeouts without a leader after which
+// a replica of an open membership asks to join although it believes to be a
+// member: the leader may have removed it while it did not answer.
+const forgottenPeriods = 2
+
 type joining struct {
 	askAt time.Time
 	nonce uint64
@@ -31,7 +36,7 @@
 // address.
 func (m *Machine) tickJoining() {
 	self, ok := m.membership().Get(m.id)
-	if (ok && self.Address == m.settings.Address) || m.now.Before(m.joining.askAt) {
+	if (ok && self.Address == m.settings.Address && !m.mayBeForgotten()) || m.now.Before(m.joining.askAt) {
 		return
 	}
 	m.joining = joining{
@@ -43,9 +48,21 @@
 			m.sendTo(storer.Member{Name: peer.Name, Address: peer.Address}, req)
 		}
 	}
+	for _, member := range m.membership().Members {
+		if member.ID != m.id && !m.isPeer(member.Address) {
+			m.sendTo(storer.Member{Name: member.Name, Address: member.Address}, req)
+		}
+	}
 	m.reviewFounding()
 }
 
+// mayBeForgotten reports whether no leader has been heard for so long that it may
+// have removed this replica.
+func (m *Machine) mayBeForgotten() bool {
+	return m.settings.OpenMembership && m.role != RoleLeader &&
+		m.now.Sub(m.leaderSeen) >= forgottenPeriods*m.settings.ElectionTimeout
+}
+
 func (m *Machine) handleJoinRequest(from storer.Identity, req *JoinRequest) {
 	resp := &JoinResponse{Nonce: req.Nonce, Name: m.settings.Name, Empty: m.isEmpty()}
 	if leader, ok := m.membership().Get(m.leader); ok && m.role == RoleFollower {
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -20,6 +20,8 @@
 	// round and sentAt are the newest ones that the replica has answered.
 	round  uint64
 	sentAt int64
+	// trackedAt is the leader's own clock when it began to follow the replica.
+	trackedAt int64
 	// sending is the snapshot that is being sent, up to offset.
 	sending *storer.Snapshot
 	offset  uint64
@@ -88,7 +90,7 @@
 	l := m.leading
 	for _, member := range m.membership().Members {
 		if l.progress[member.ID] == nil && member.ID != m.id {
-			l.progress[member.ID] = &progress{next: m.log.last() + 1, sentAt: math.MinInt64}
+			l.progress[member.ID] = &progress{next: m.log.last() + 1, sentAt: math.MinInt64, trackedAt: m.clock()}
 		}
 	}
 	for id := range l.progress {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -58,6 +58,18 @@
 	MaxAppendBytes int
 	// MaxPending bounds the proposals that wait for a majority.
 	MaxPending int
+	// OpenMembership admits every replica that asks to join, for platforms that
+	// replace replicas without telling who is to come.
+	OpenMembership bool
+	// MaxVoters bounds the voters of an open membership; further replicas stay
+	// non-voters. 0 means no bound.
+	MaxVoters int
+	// RemoveSilentAfter is the silence after which an open membership removes a
+	// replica, as far as MinVoters voters that answer remain. The replica joins
+	// again when it is back. 0 means never.
+	RemoveSilentAfter time.Duration
+	// MinVoters is the least number of voters that removals leave.
+	MinVoters int
 }
 
 // DefaultSettings returns the settings that do not name replicas.
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -19,8 +19,8 @@
 // reviewMembership makes at most one change: it adds a replica that asked to join
 // as a non-voter, or brings in one that has caught up.
 func (m *Machine) reviewMembership() {
-	if m.canChangeMembership() && !m.admitJoiner() {
-		m.promoteCaughtUp()
+	if m.canChangeMembership() && !m.admitJoiner() && !m.promoteCaughtUp() {
+		m.removeSilent()
 	}
 }
 
@@ -56,7 +56,7 @@
 // mayJoin reports whether the name of a new replica is known and its earlier
 // identity, if any, is silent.
 func (m *Machine) mayJoin(joiner storer.Member) bool {
-	known := slices.Contains(m.admitted.Names, joiner.Name)
+	known := m.settings.OpenMembership || slices.Contains(m.admitted.Names, joiner.Name)
 	if !m.admitted.Only {
 		known = known || slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Name == joiner.Name })
 	}
@@ -77,7 +77,7 @@
 	return id == m.id || (p != nil && p.verified && p.sentAt >= m.freshSince())
 }
 
-func (m *Machine) promoteCaughtUp() {
+func (m *Machine) promoteCaughtUp() bool {
 	membership := m.membership()
 	for _, member := range membership.Members {
 		if member.Voter || !m.isFresh(member.ID) || m.leading.progress[member.ID].match+maxLag < m.log.last() {
@@ -87,18 +87,54 @@
 		// number of voters never exceeds the number of replicas.
 		for _, other := range membership.Members {
 			if other.Name == member.Name && other.Voter {
-				if m.canRemove(other.ID) {
-					m.changeMembership(membership.Without(other.ID))
+				if !m.canRemove(other.ID) {
+					return false
 				}
-				return
+				m.changeMembership(membership.Without(other.ID))
+				return true
 			}
 		}
+		if m.settings.MaxVoters > 0 && membership.Voters() >= m.settings.MaxVoters {
+			return false
+		}
 		member.Voter = true
 		m.changeMembership(membership.With(member))
+		return true
+	}
+	return false
+}
+
+// removeSilent takes at most one replica that has long been silent out of an open
+// membership, so that replicas that are gone for good do not count against the
+// majority.
+func (m *Machine) removeSilent() {
+	if !m.settings.OpenMembership || m.settings.RemoveSilentAfter <= 0 {
+		return
+	}
+	membership := m.membership()
+	for _, member := range membership.Members {
+		p := m.leading.progress[member.ID]
+		if p == nil || m.clock()-max(p.sentAt, p.trackedAt) < int64(m.settings.RemoveSilentAfter) {
+			continue
+		}
+		if member.Voter && (m.countFreshVoters() < m.settings.MinVoters || !m.canRemove(member.ID)) {
+			continue
+		}
+		m.changeMembership(membership.Without(member.ID))
 		return
 	}
 }
 
+func (m *Machine) countFreshVoters() int {
+	fresh := 0
+	for _, member := range m.membership().Members {
+		if member.Voter && m.isFresh(member.ID) {
+			fresh++
+		}
+	}
+	return fresh
+}
+
 // canRemove reports whether a majority of the voters that remain answers.
 func (m *Machine) canRemove(id storer.Identity) bool {
 	voters, fresh := 0, 0
--- /dev/null
+++ b/entry/routers/carrier/carrier.go
@@ -0,0 +1,153 @@
+// Package carrier reads the packets of callers from a UDP socket and sends each
+// where the steerer decides.
+package carrier
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/services/steerer"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+const (
+	// maxDatagram is the greatest datagram in bytes.
+	maxDatagram = 2048
+	// maxPrefix is the room for what a codec puts in front of a packet.
+	maxPrefix = 64
+	// socketBuffer is the size in bytes asked of the kernel for receiving.
+	socketBuffer = 1 << 20
+	// sweepPeriod is the time between two searches for idle flows.
+	sweepPeriod = time.Second
+)
+
+// ErrMalformed reports a datagram that is no packet.
+var ErrMalformed = errors.New("the datagram is no packet")
+
+// Codec reads and writes the packets of a platform.
+type Codec interface {
+	// Decode returns what a decision needs of a packet, or ErrMalformed.
+	Decode(datagram []byte) (steerer.Packet, error)
+	// Forward writes a packet for a backend server with its token into dst and
+	// returns the bytes written.
+	Forward(dst, datagram []byte, server director.Server) ([]byte, error)
+	// Reset writes the reset of the flow that a packet belongs to into dst, and
+	// returns the bytes written and where to send them.
+	Reset(dst, datagram []byte) ([]byte, netip.AddrPort, error)
+}
+
+// Carrier moves packets between one socket and the backend servers.
+type Carrier struct {
+	conn    *net.UDPConn
+	codec   Codec
+	steerer *steerer.Steerer
+	clock   timer.Service
+	logger  *slog.Logger
+	running sync.WaitGroup
+
+	received, forwarded, resets, malformed, sendErrors *expvar.Int
+	refused                                            *expvar.Map
+}
+
+// Listen binds the address for the packets of callers.
+func Listen(address netip.AddrPort, codec Codec, s *steerer.Steerer, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) (*Carrier, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("bind the packet address: %w", err)
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		logger.Warn("receive buffer keeps its default size", "error", err)
+	}
+	return &Carrier{
+		conn: conn, codec: codec, steerer: s, clock: clock, logger: logger,
+		received: counters.Int("packets_received"), forwarded: counters.Int("packets_forwarded"),
+		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
+		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
+	}, nil
+}
+
+// Run carries packets until ctx ends.
+func (c *Carrier) Run(ctx context.Context) {
+	c.running.Add(1)
+	go c.sweep(ctx)
+	stop := context.AfterFunc(ctx, func() {
+		if err := c.conn.Close(); err != nil {
+			c.logger.Warn("packet socket was not closed", "error", err)
+		}
+	})
+	defer stop()
+	in, out := make([]byte, maxDatagram), make([]byte, maxDatagram+maxPrefix)
+	for {
+		n, _, err := c.conn.ReadFromUDPAddrPort(in)
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			c.logger.Warn("packet was not read", "error", err)
+			continue
+		}
+		c.received.Add(1)
+		c.carry(in[:n], out)
+	}
+	c.running.Wait()
+}
+
+func (c *Carrier) sweep(ctx context.Context) {
+	defer c.running.Done()
+	ticks := c.clock.Subscribe("idle flows", sweepPeriod)
+	defer ticks.Cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticks.C:
+			c.steerer.Sweep(now)
+		}
+	}
+}
+
+func (c *Carrier) carry(datagram, out []byte) {
+	packet, err := c.codec.Decode(datagram)
+	if err != nil {
+		c.malformed.Add(1)
+		return
+	}
+	verdict := c.steerer.Decide(packet, c.clock.Now())
+	if verdict.Reason != steerer.ReasonNone {
+		c.refused.Add(verdict.Reason.String(), 1)
+	}
+	switch verdict.Action {
+	case steerer.ActionForward:
+		bytes, err := c.codec.Forward(out[:0], datagram, verdict.Server)
+		if err != nil {
+			c.sendErrors.Add(1)
+			return
+		}
+		c.send(bytes, verdict.Server.Address, c.forwarded)
+	case steerer.ActionReset:
+		bytes, to, err := c.codec.Reset(out[:0], datagram)
+		if err != nil {
+			c.sendErrors.Add(1)
+			return
+		}
+		c.send(bytes, to, c.resets)
+	case steerer.ActionDrop:
+	}
+}
+
+func (c *Carrier) send(bytes []byte, to netip.AddrPort, sent *expvar.Int) {
+	if _, err := c.conn.WriteToUDPAddrPort(bytes, to); err != nil {
+		c.sendErrors.Add(1)
+		return
+	}
+	sent.Add(1)
+}
--- /dev/null
+++ b/entry/services/steerer/packet.go
@@ -0,0 +1,86 @@
+// Package steerer decides where the packets of flows go when the ends of a flow
+// hand back a routing token: the token of the backend server is written into the
+// opening packet, and any entry routes every later packet by it without state
+// shared between entries.
+package steerer
+
+import (
+	"net/netip"
+
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+// Packet is what a decision needs of a packet of a caller.
+type Packet struct {
+	// Source is the address of the caller.
+	Source netip.AddrPort
+	// Destination is the address of a route.
+	Destination netip.AddrPort
+	// Token is the one that the caller handed back; 0 on an opening packet.
+	Token director.Token
+	// IsOpening tells that the packet opens a flow.
+	IsOpening bool
+	// Copy counts the earlier copies of an opening packet that the caller sent.
+	Copy uint32
+	// IsReset and IsFinal tell that the caller ends the flow.
+	IsReset, IsFinal bool
+	// HasData tells that the packet carries bytes of the caller.
+	HasData bool
+}
+
+// Action is what happens to a packet.
+type Action uint8
+
+// Actions.
+const (
+	// ActionDrop discards the packet without an answer.
+	ActionDrop Action = iota
+	// ActionForward sends the packet to a backend server.
+	ActionForward
+	// ActionReset tells the caller that its flow has ended.
+	ActionReset
+)
+
+// Reason tells why a packet was not forwarded.
+type Reason uint8
+
+// Reasons.
+const (
+	ReasonNone Reason = iota
+	// ReasonNoView is a packet before control was reached.
+	ReasonNoView
+	// ReasonNoRoute is a packet to an address without a route.
+	ReasonNoRoute
+	// ReasonStaleView is a packet to an unknown address while control is silent.
+	ReasonStaleView
+	// ReasonNoServer is an opening packet for which no backend server is open.
+	ReasonNoServer
+	// ReasonUnknownToken is a token that this entry has not heard of, or none.
+	ReasonUnknownToken
+	// ReasonOtherService is a token of a service that the route never named.
+	ReasonOtherService
+	// ReasonServerGone is a packet to a backend server that has ended.
+	ReasonServerGone
+
+	reasonCount
+)
+
+// String returns the name of the reason in counters and logs.
+func (r Reason) String() string {
+	names := [reasonCount]string{
+		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone",
+	}
+	if r >= reasonCount {
+		return "unknown"
+	}
+	return names[r]
+}
+
+// Verdict is a decision. It is a plain value, as an interface would allocate for
+// every packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// Server is where a forwarded packet goes.
+	Server director.Server
+}
--- /dev/null
+++ b/entry/services/steerer/selector.go
@@ -0,0 +1,129 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+const (
+	// coldPenalty multiplies the load of a backend server during its cold start,
+	// when requests take longer.
+	coldPenalty = 2.0
+	// remotePenalty is the load, in flows a slot, by which a backend server of
+	// another data centre is avoided.
+	remotePenalty = 0.25
+)
+
+// candidate is a backend server that may get new flows.
+type candidate struct {
+	token     director.Token
+	slots     int
+	isLocal   bool
+	coldUntil time.Time
+}
+
+// selector places new flows at the backend server with the fewest flows of this
+// entry for each slot. It answers the usual load, where slots are free: callers
+// get a response at once if their flows do not share a slot.
+type selector struct {
+	dataCentre string
+	rng        *rand.Rand
+	byService  map[string][]candidate
+	flows      map[director.Token]int
+	coldUntil  map[director.Token]time.Time
+}
+
+func newSelector(dataCentre string, rng *rand.Rand) *selector {
+	return &selector{
+		dataCentre: dataCentre, rng: rng, byService: make(map[string][]candidate),
+		flows: make(map[director.Token]int), coldUntil: make(map[director.Token]time.Time),
+	}
+}
+
+// update takes over the backend servers of a view. Those whose lease has expired
+// are used only if a service has no other.
+func (s *selector) update(directory *director.Directory, now time.Time) {
+	clear(s.byService)
+	lapsed := make(map[string][]candidate)
+	known := make(map[director.Token]bool)
+	for _, server := range directory.Servers() {
+		known[server.Token] = true
+		if _, ok := s.coldUntil[server.Token]; !ok {
+			s.coldUntil[server.Token] = now.Add(server.ColdFor)
+		}
+		if directory.IsTakenOut(server.DataCentre) {
+			continue
+		}
+		c := candidate{
+			token: server.Token, slots: max(server.Slots, 1), isLocal: server.DataCentre == s.dataCentre,
+			coldUntil: s.coldUntil[server.Token],
+		}
+		switch server.State {
+		case director.StateReady:
+			s.byService[server.Service] = append(s.byService[server.Service], c)
+		case director.StateLapsed:
+			lapsed[server.Service] = append(lapsed[server.Service], c)
+		case director.StateDraining, director.StateGone:
+		}
+	}
+	for service, candidates := range lapsed {
+		if len(s.byService[service]) == 0 {
+			s.byService[service] = candidates
+		}
+	}
+	for token := range s.coldUntil {
+		if !known[token] {
+			delete(s.coldUntil, token)
+			delete(s.flows, token)
+		}
+	}
+}
+
+// pick returns the token of the least loaded backend server of a service, or 0.
+// The one that was tried before is used only if there is no other.
+func (s *selector) pick(service string, tried director.Token, now time.Time) director.Token {
+	best, bestLoad, ties := director.Token(0), 0.0, 0
+	for _, c := range s.byService[service] {
+		if c.token == tried {
+			continue
+		}
+		load := s.load(c, now)
+		switch {
+		case best == 0 || load < bestLoad:
+			best, bestLoad, ties = c.token, load, 1
+		case load == bestLoad:
+			// Entries that agree on the loads must not agree on the choice.
+			ties++
+			if s.rng.IntN(ties) == 0 {
+				best = c.token
+			}
+		}
+	}
+	if best == 0 {
+		for _, c := range s.byService[service] {
+			if c.token == tried {
+				return tried
+			}
+		}
+	}
+	return best
+}
+
+func (s *selector) load(c candidate, now time.Time) float64 {
+	load := float64(s.flows[c.token]) / float64(c.slots)
+	if now.Before(c.coldUntil) {
+		load = (load + 1) * coldPenalty
+	}
+	if !c.isLocal {
+		load += remotePenalty
+	}
+	return load
+}
+
+func (s *selector) addFlow(token director.Token, n int) {
+	if s.flows[token] += n; s.flows[token] <= 0 {
+		delete(s.flows, token)
+	}
+}
--- /dev/null
+++ b/entry/services/steerer/steerer.go
@@ -0,0 +1,155 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+const (
+	// freshView is the age up to which the view is sure enough to refuse an
+	// unknown address. It covers two polls of control.
+	freshView = 3 * time.Second
+	// defaultIdleTimeout holds until a configuration names another one.
+	defaultIdleTimeout = 15 * time.Second
+)
+
+// Settings are the constants of a Steerer.
+type Settings struct {
+	// DataCentre is that of the entry.
+	DataCentre string
+	// MaxFlows bounds the flows that are followed for load estimates. Others are
+	// routed all the same.
+	MaxFlows int
+}
+
+// Steerer decides about packets. It is safe for concurrent use.
+type Steerer struct {
+	mu        sync.Mutex
+	settings  Settings
+	rng       *rand.Rand
+	directory *director.Directory
+	index     uint64
+	viewedAt  time.Time
+	selector  *selector
+	flows     map[flowKey]*flow
+}
+
+// New returns a Steerer without a view.
+func New(settings Settings, rng *rand.Rand) *Steerer {
+	return &Steerer{
+		settings: settings, rng: rng, directory: director.NewDirectory(),
+		selector: newSelector(settings.DataCentre, rng), flows: make(map[flowKey]*flow),
+	}
+}
+
+// Update carries out changes that lead to index. With complete, they replace the
+// whole view.
+func (s *Steerer) Update(index uint64, changes []director.Change, complete bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index < s.index {
+		return
+	}
+	if complete {
+		s.directory = director.NewDirectory()
+	}
+	for _, change := range changes {
+		s.directory.Apply(change)
+	}
+	s.index, s.viewedAt = index, now
+	if len(changes) > 0 {
+		s.selector.update(s.directory, now)
+	}
+}
+
+// HasView reports whether a configuration is known.
+func (s *Steerer) HasView() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Version > 0
+}
+
+// Status describes the view for counters.
+type Status struct {
+	Index   uint64 `json:"index"`
+	Version uint64 `json:"version"`
+	// AgeMilliseconds is the time since control last confirmed the view.
+	AgeMilliseconds int64 `json:"age_ms"`
+	Flows           int   `json:"flows"`
+}
+
+// Status returns the state of the view.
+func (s *Steerer) Status(now time.Time) Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Status{Index: s.index, Version: s.directory.Version, AgeMilliseconds: now.Sub(s.viewedAt).Milliseconds(), Flows: len(s.flows)}
+}
+
+// Decide returns what happens to a packet.
+func (s *Steerer) Decide(p Packet, now time.Time) Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directory.Version == 0 {
+		return Verdict{Reason: ReasonNoView}
+	}
+	route, ok := s.directory.Route(p.Destination)
+	if !ok {
+		return s.refuseUnknown(p, now)
+	}
+	if p.IsOpening {
+		return s.open(p, route, now)
+	}
+	server, ok := s.directory.Server(p.Token)
+	switch {
+	case !ok:
+		return Verdict{Reason: ReasonUnknownToken}
+	case !route.Allows(server.Service):
+		return Verdict{Reason: ReasonOtherService}
+	case server.State == director.StateGone:
+		s.forget(keyOf(p))
+		if p.IsReset {
+			return Verdict{Reason: ReasonServerGone}
+		}
+		return Verdict{Action: ActionReset, Reason: ReasonServerGone}
+	}
+	s.follow(p, server, now)
+	return Verdict{Action: ActionForward, Server: server}
+}
+
+// refuseUnknown resets flows to an address without a route, unless the view may
+// be out of date.
+func (s *Steerer) refuseUnknown(p Packet, now time.Time) Verdict {
+	if now.Sub(s.viewedAt) > freshView {
+		return Verdict{Reason: ReasonStaleView}
+	}
+	if p.IsReset {
+		return Verdict{Reason: ReasonNoRoute}
+	}
+	return Verdict{Action: ActionReset, Reason: ReasonNoRoute}
+}
+
+// open places a new flow. A copy of an opening packet goes to another backend
+// server, as the first one has not answered in time.
+func (s *Steerer) open(p Packet, route director.Route, now time.Time) Verdict {
+	key := keyOf(p)
+	tried := director.Token(0)
+	if known, ok := s.flows[key]; ok {
+		if server, ok := s.directory.Server(known.token); ok && known.copies >= p.Copy && server.IsOpen() {
+			known.seenAt = now
+			return Verdict{Action: ActionForward, Server: server}
+		}
+		tried = known.token
+		s.forget(key)
+	}
+	service := route.PickService(key.point())
+	token := s.selector.pick(service, tried, now)
+	server, ok := s.directory.Server(token)
+	if !ok {
+		return Verdict{Action: ActionReset, Reason: ReasonNoServer}
+	}
+	s.remember(key, flow{token: token, copies: p.Copy, seenAt: now})
+	return Verdict{Action: ActionForward, Server: server}
+}
--- /dev/null
+++ b/shared/models/director/change.go
@@ -0,0 +1,115 @@
+package director
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Change is one step of the state that entries follow. The types of this file
+// implement it.
+type Change interface{ isChange() }
+
+type sealed struct{}
+
+func (sealed) isChange() {}
+
+// ServerChanged adds or replaces a backend server.
+type ServerChanged struct {
+	sealed
+	Server Server
+}
+
+// ServerForgotten removes a backend server whose flows have all ended.
+type ServerForgotten struct {
+	sealed
+	Token Token
+}
+
+// RouteChanged adds or replaces a route.
+type RouteChanged struct {
+	sealed
+	Route Route
+}
+
+// RouteRemoved removes a route.
+type RouteRemoved struct {
+	sealed
+	Address netip.AddrPort
+}
+
+// DataCentreChanged takes a data centre out or brings it back.
+type DataCentreChanged struct {
+	sealed
+	Name     string
+	TakenOut bool
+}
+
+// VersionChanged names the configuration that the changes before it lead to.
+type VersionChanged struct {
+	sealed
+	Version uint64
+	// IdleTimeout is how long a flow may be idle before it may be discarded.
+	IdleTimeout time.Duration
+}
+
+// Body carries one change between processes. Exactly one field is set.
+type Body struct {
+	Server     *Server         `cbor:"1,keyasint,omitempty"`
+	Forgotten  *Token          `cbor:"2,keyasint,omitempty"`
+	Route      *Route          `cbor:"3,keyasint,omitempty"`
+	Removed    *netip.AddrPort `cbor:"4,keyasint,omitempty"`
+	DataCentre *dataCentreBody `cbor:"5,keyasint,omitempty"`
+	Version    *versionBody    `cbor:"6,keyasint,omitempty"`
+}
+
+type dataCentreBody struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	TakenOut bool
+}
+
+type versionBody struct {
+	_           struct{} `cbor:",toarray"`
+	Version     uint64
+	IdleTimeout time.Duration
+}
+
+// Wrap returns the wire form of a change.
+func Wrap(change Change) Body {
+	switch c := change.(type) {
+	case ServerChanged:
+		return Body{Server: &c.Server}
+	case ServerForgotten:
+		return Body{Forgotten: &c.Token}
+	case RouteChanged:
+		return Body{Route: &c.Route}
+	case RouteRemoved:
+		return Body{Removed: &c.Address}
+	case DataCentreChanged:
+		return Body{DataCentre: &dataCentreBody{Name: c.Name, TakenOut: c.TakenOut}}
+	case VersionChanged:
+		return Body{Version: &versionBody{Version: c.Version, IdleTimeout: c.IdleTimeout}}
+	default:
+		return Body{}
+	}
+}
+
+// Unwrap returns the change of a body, or nil if this version does not know it.
+func (b Body) Unwrap() Change {
+	switch {
+	case b.Server != nil:
+		return ServerChanged{Server: *b.Server}
+	case b.Forgotten != nil:
+		return ServerForgotten{Token: *b.Forgotten}
+	case b.Route != nil:
+		return RouteChanged{Route: *b.Route}
+	case b.Removed != nil:
+		return RouteRemoved{Address: *b.Removed}
+	case b.DataCentre != nil:
+		return DataCentreChanged{Name: b.DataCentre.Name, TakenOut: b.DataCentre.TakenOut}
+	case b.Version != nil:
+		return VersionChanged{Version: b.Version.Version, IdleTimeout: b.Version.IdleTimeout}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/shared/models/director/directory.go
@@ -0,0 +1,106 @@
+package director
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Directory is the state that changes add up to. It is not safe for concurrent
+// use.
+type Directory struct {
+	Version     uint64
+	IdleTimeout time.Duration
+	servers     map[Token]Server
+	routes      map[netip.AddrPort]Route
+	takenOut    map[string]bool
+}
+
+// NewDirectory returns an empty Directory.
+func NewDirectory() *Directory {
+	return &Directory{servers: make(map[Token]Server), routes: make(map[netip.AddrPort]Route), takenOut: make(map[string]bool)}
+}
+
+// Apply carries out a change.
+func (d *Directory) Apply(change Change) {
+	switch c := change.(type) {
+	case ServerChanged:
+		d.servers[c.Server.Token] = c.Server
+	case ServerForgotten:
+		delete(d.servers, c.Token)
+	case RouteChanged:
+		d.routes[c.Route.Address] = c.Route
+	case RouteRemoved:
+		delete(d.routes, c.Address)
+	case DataCentreChanged:
+		if c.TakenOut {
+			d.takenOut[c.Name] = true
+		} else {
+			delete(d.takenOut, c.Name)
+		}
+	case VersionChanged:
+		d.Version, d.IdleTimeout = c.Version, c.IdleTimeout
+	}
+}
+
+// Changes returns changes that make an empty Directory equal to this one, in an
+// order that depends on the content only.
+func (d *Directory) Changes() []Change {
+	changes := make([]Change, 0, len(d.servers)+len(d.routes)+len(d.takenOut)+1)
+	for _, s := range d.Servers() {
+		changes = append(changes, ServerChanged{Server: s})
+	}
+	for _, r := range d.Routes() {
+		changes = append(changes, RouteChanged{Route: r})
+	}
+	for _, name := range d.TakenOut() {
+		changes = append(changes, DataCentreChanged{Name: name, TakenOut: true})
+	}
+	return append(changes, VersionChanged{Version: d.Version, IdleTimeout: d.IdleTimeout})
+}
+
+// Server returns the backend server with the token.
+func (d *Directory) Server(token Token) (Server, bool) {
+	s, ok := d.servers[token]
+	return s, ok
+}
+
+// Servers returns all backend servers, sorted by token.
+func (d *Directory) Servers() []Server {
+	servers := make([]Server, 0, len(d.servers))
+	for _, s := range d.servers {
+		servers = append(servers, s)
+	}
+	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.Token, b.Token) })
+	return servers
+}
+
+// Route returns the route of an address.
+func (d *Directory) Route(address netip.AddrPort) (Route, bool) {
+	r, ok := d.routes[address]
+	return r, ok
+}
+
+// Routes returns all routes, sorted by address.
+func (d *Directory) Routes() []Route {
+	routes := make([]Route, 0, len(d.routes))
+	for _, r := range d.routes {
+		routes = append(routes, r)
+	}
+	slices.SortFunc(routes, func(a, b Route) int { return a.Address.Compare(b.Address) })
+	return routes
+}
+
+// IsTakenOut reports whether a data centre is taken out.
+func (d *Directory) IsTakenOut(dataCentre string) bool { return d.takenOut[dataCentre] }
+
+// TakenOut returns the data centres that are taken out, sorted by name.
+func (d *Directory) TakenOut() []string {
+	names := make([]string, 0, len(d.takenOut))
+	for name := range d.takenOut {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/shared/models/director/watch.go
@@ -0,0 +1,35 @@
+package director
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Names of the gRPC service that entries call on control.
+const (
+	ServiceName = "redwingledge.control.Directory"
+	WatchMethod = "/" + ServiceName + "/Watch"
+)
+
+// WatchRequest asks for the changes after an index.
+type WatchRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// Index is that of the newest change that the entry has; 0 asks for all.
+	Index uint64
+	// Wait is how long control may hold the call while nothing changes.
+	Wait time.Duration
+	// DataCentre is that of the entry.
+	DataCentre string
+}
+
+// WatchResponse carries the changes up to an index.
+type WatchResponse struct {
+	_ struct{} `cbor:",toarray"`
+	// Index is that of the newest change included.
+	Index uint64
+	// Complete tells that Changes build the whole state, not a step.
+	Complete bool
+	Changes  []Body
+	// Replicas are the gRPC addresses of all control replicas.
+	Replicas []netip.AddrPort
+}
--- a/shared/modules/reporter/reporter.go
+++ b/shared/modules/reporter/reporter.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -35,6 +36,16 @@
 	return v
 }
 
+// Map returns the set of counters with the given name and creates it empty.
+func (c *Counters) Map(name string) *expvar.Map {
+	if v, ok := c.vars.Get(name).(*expvar.Map); ok {
+		return v
+	}
+	v := new(expvar.Map).Init()
+	c.vars.Set(name, v)
+	return v
+}
+
 // Func publishes a value that is computed when it is read. The value must be
 // one that encoding/json can encode.
 func (c *Counters) Func(name string, f func() any) { c.vars.Set(name, expvar.Func(f)) }
@@ -42,6 +53,24 @@
 // String returns all counters as a JSON object.
 func (c *Counters) String() string { return c.vars.String() }
 
+// Text returns all counters as lines of a name and a value, sorted by name. The
+// members of a set follow its name and a dot.
+func (c *Counters) Text() string {
+	var b strings.Builder
+	c.vars.Do(func(kv expvar.KeyValue) { writeText(&b, kv) })
+	return b.String()
+}
+
+func writeText(b *strings.Builder, kv expvar.KeyValue) {
+	if set, ok := kv.Value.(*expvar.Map); ok {
+		set.Do(func(member expvar.KeyValue) {
+			writeText(b, expvar.KeyValue{Key: kv.Key + "." + member.Key, Value: member.Value})
+		})
+		return
+	}
+	fmt.Fprintf(b, "%s %s\n", kv.Key, kv.Value)
+}
+
 // Readiness tells a fabric whether to hand new work to this process.
 type Readiness struct {
 	ready atomic.Bool
--- a/shared/modules/runner/runner.go
+++ b/shared/modules/runner/runner.go
@@ -94,7 +94,12 @@
 
 func newReadiness() *reporter.Readiness { return new(reporter.Readiness) }
 
+// startAdminServer serves the admin address, unless the program has none because
+// it serves its counters elsewhere.
 func startAdminServer(lc fx.Lifecycle, common Common, counters *reporter.Counters, readiness *reporter.Readiness, logger *slog.Logger) error {
+	if !common.AdminAddress.IsValid() {
+		return nil
+	}
 	server, err := reporter.Listen(common.AdminAddress, counters, readiness)
 	if err != nil {
 		return err
