--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -25,6 +25,9 @@
 		m.hastenElection()
 	} else {
 		m.role = RoleCandidate
+		// The votes must be stored by others before they arrive.
+		m.hastenElection()
+		m.electionAt = m.electionAt.Add(m.settings.ElectionTimeout / hastePart)
 		m.setTerm(term, m.id)
 		m.counts.Elections++
 	}
@@ -65,6 +68,9 @@
 	}
 	if req.Pre {
 		granted := m.verification.done && req.Term > m.term && m.isUpToDate(req.LastIndex, req.LastTerm)
+		if granted && m.role == RoleFollower {
+			m.hastenElection()
+		}
 		m.send(from, &VoteResponse{Pre: true, Term: m.term, For: req.Term, Granted: granted})
 		return
 	}
--- a/control/services/replicator/open_test.go
+++ b/control/services/replicator/open_test.go
@@ -174,3 +174,30 @@
 		require.True(t, w.settle(30*time.Second), w.describe())
 	}
 }
+
+// Guards against elections that compete after all replicas have started at once
+// and one of four has lost its disk, so that all others must vote for the same one.
+// They must have a leader within 1.5 s in 95 of 100 cases.
+func TestLeaderSoonAfterCommonStart(t *testing.T) {
+	t.Parallel()
+	const cases, limit, allowedLate = 100, 1500 * time.Millisecond, 5
+	late := 0
+	for seed := range uint64(cases) {
+		w := newOpenWorld(seed, 4)
+		require.True(t, w.settle(20*time.Second), w.describe())
+		w.settings.Bootstrap = false
+		for _, n := range w.nodes {
+			w.kill(n)
+		}
+		w.run(time.Second)
+		w.nodes[w.rng.IntN(4)].disk = nil
+		for _, n := range w.nodes {
+			w.start(n)
+		}
+		w.run(limit)
+		if lead := w.leader(); lead == nil || !lead.machine.hasFreshQuorum() {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, allowedLate)
+}
