Let one of two competing pre-candidates give way

Ruled out: slow connections; the requests arrived within 50 ms. Change: a pre-candidate that grants a pre-vote to a smaller identity becomes a follower again.

--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"slices"
+
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
 
@@ -68,7 +70,9 @@
 	}
 	if req.Pre {
 		granted := m.verification.done && req.Term > m.term && m.isUpToDate(req.LastIndex, req.LastTerm)
-		if granted && m.role == RoleFollower {
+		if granted && (m.role == RoleFollower || m.role == RolePreCandidate && slices.Compare(from[:], m.id[:]) < 0) {
+			// Of two replicas that ask at the same time, one gives way.
+			m.role = RoleFollower
 			m.hastenElection()
 		}
 		m.send(from, &VoteResponse{Pre: true, Term: m.term, For: req.Term, Granted: granted})
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -378,8 +378,8 @@
 
 // hastenElection lets the next election begin within a part of a timeout, for
 // replicas that cannot disturb a live leader: they have just started, or they only
-// ask whether they would be elected. Granting the wish of another replica puts the
-// own one off for as long, so that they rarely compete for the same votes.
+// ask whether they would be elected. A replica that grants a pre-vote puts its own
+// election off for as long, so that they rarely compete for the same votes.
 func (m *Machine) hastenElection() {
 	part := m.settings.ElectionTimeout / hastePart
 	m.electionAt = m.now.Add(part/2 + time.Duration(m.rng.Int64N(int64(part))))
--- a/control/services/replicator/open_test.go
+++ b/control/services/replicator/open_test.go
@@ -177,10 +177,10 @@
 
 // Guards against elections that compete after all replicas have started at once
 // and one of four has lost its disk, so that all others must vote for the same one.
-// They must have a leader within 1.5 s in 95 of 100 cases.
+// They must have a leader within 0.8 s in 95 of 100 cases.
 func TestLeaderSoonAfterCommonStart(t *testing.T) {
 	t.Parallel()
-	const cases, limit, allowedLate = 100, 1500 * time.Millisecond, 5
+	const cases, limit, allowedLate = 100, 800 * time.Millisecond, 5
 	late := 0
 	for seed := range uint64(cases) {
 		w := newOpenWorld(seed, 4)
