--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -12,8 +12,9 @@
 	// when requests take longer.
 	coldPenalty = 2.0
 	// remotePenalty is the load, in flows a slot, by which a backend server of
-	// another data centre is avoided.
-	remotePenalty = 0.25
+	// another data centre is avoided: above any real load, so that flows stay at
+	// home, survive a cut between data centres, and cost no bytes on their links.
+	remotePenalty = 1000.0
 )
 
 // candidate is a backend server that may get new flows.
