Search for a control replica without waiting for dead ones

Ruled out: the replicas, which answered from 48.62 s on. Change: an entry without a replica asks all of them, 60 ms apart, and follows the first current one; calls between replicas end after a third of an election timeout. Conclusion: entries follow as soon as there is a leader.

--- a/control/services/driver/delivering.go
+++ b/control/services/driver/delivering.go
@@ -18,6 +18,10 @@
 	deliverMethod = "/" + serviceName + "/Deliver"
 )
 
+// sendTimeoutPart divides the election timeout. A call to a VM that has no power
+// hangs, and must not take so long that the VM misses the next election.
+const sendTimeoutPart = 3
+
 // Delivery is the request of Deliver.
 type Delivery struct {
 	_         struct{} `cbor:",toarray"`
@@ -99,7 +103,7 @@
 		if n == 0 || d.ctx.Err() != nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(d.ctx, d.options.Settings.ElectionTimeout)
+		ctx, cancel := context.WithTimeout(d.ctx, d.options.Settings.ElectionTimeout/sendTimeoutPart)
 		_, err := transporter.Call[Delivery, Receipt](ctx, d.pool, address, deliverMethod, &Delivery{Envelopes: slices.Clone(batch[:n])})
 		cancel()
 		if err != nil {
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,9 +23,15 @@
 	pollWait = 700 * time.Millisecond
 	// callGrace is added to pollWait for the way there and back.
 	callGrace = 600 * time.Millisecond
-	// retryWait is the pause after a failed poll; it doubles up to maxRetryWait.
+	// retryWait is the pause after a failed search; it doubles up to maxRetryWait.
 	retryWait    = 50 * time.Millisecond
-	maxRetryWait = 400 * time.Millisecond
+	maxRetryWait = 200 * time.Millisecond
+	// searchStagger is the time between the calls of a search. It covers a call
+	// between data centres several times.
+	searchStagger = 60 * time.Millisecond
+	// searchLimit bounds a search. After it all connections are made anew, as an
+	// attempt to connect is repeated only after a second.
+	searchLimit = 500 * time.Millisecond
 )
 
 // Caller polls one replica.
@@ -55,14 +62,17 @@
 
 	// replicas are those that the last answer named.
 	replicas []netip.AddrPort
-	current  netip.AddrPort
-	index    uint64
+	// current is the replica that is followed, if any, and last the one before.
+	current, last netip.AddrPort
+	index         uint64
+	// failures counts the searches since a replica was followed.
 	failures int
+	rng      *rand.Rand
 }
 
 // New returns a Follower that begins with the seeds.
-func New(caller Caller, receiver Receiver, seeds []netip.AddrPort, dataCentre string, clock timer.Service, logger *slog.Logger) *Follower {
-	return &Follower{caller: caller, receiver: receiver, seeds: seeds, dataCentre: dataCentre, clock: clock, logger: logger}
+func New(caller Caller, receiver Receiver, seeds []netip.AddrPort, dataCentre string, clock timer.Service, rng *rand.Rand, logger *slog.Logger) *Follower {
+	return &Follower{caller: caller, receiver: receiver, seeds: seeds, dataCentre: dataCentre, clock: clock, rng: rng, logger: logger}
 }
 
 // SetSeeds replaces the seeds.
@@ -75,45 +85,103 @@
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.poll(ctx) {
-			continue
-		}
-		wait := f.clock.Subscribe("retry of a poll", min(retryWait<<min(f.failures, 4), maxRetryWait))
-		select {
-		case <-ctx.Done():
-		case <-wait.C:
+		if f.current.IsValid() {
+			f.poll(ctx)
+		} else if !f.search(ctx) {
+			f.pause(ctx)
 		}
-		wait.Cancel()
 	}
 }
 
-// poll makes one call and reports whether it succeeded.
-func (f *Follower) poll(ctx context.Context) bool {
-	if !f.current.IsValid() {
-		f.current = f.next()
+// pause waits before another search.
+func (f *Follower) pause(ctx context.Context) {
+	f.failures++
+	wait := f.clock.Subscribe("retry of a search", min(retryWait<<min(f.failures, 4), maxRetryWait))
+	defer wait.Cancel()
+	select {
+	case <-ctx.Done():
+	case <-wait.C:
 	}
+}
+
+// poll makes one long poll to the current replica.
+func (f *Follower) poll(ctx context.Context) {
 	replica := f.current
 	call, cancel := context.WithTimeout(ctx, pollWait+callGrace)
 	defer cancel()
-	resp, err := f.caller.Watch(call, replica, &director.WatchRequest{Index: f.index, Wait: pollWait, DataCentre: f.dataCentre})
-	if err != nil {
-		if ctx.Err() == nil && f.failures == 0 {
-			f.logger.Warn("control replica lost", "replica", replica, "index", f.index, "error", err)
-		}
-		f.caller.Forget(replica)
-		f.failures++
-		f.current = f.next()
-		return false
+	resp, err := f.caller.Watch(call, replica, f.request(pollWait))
+	if err == nil {
+		f.take(resp)
+		return
 	}
-	if f.failures > 0 || f.index == 0 {
-		f.logger.Info("control replica followed", "replica", replica, "index", resp.Index, "failures", f.failures)
+	if ctx.Err() != nil {
+		return
 	}
-	f.failures = 0
-	if len(resp.Replicas) > 0 {
-		f.replicas = resp.Replicas
+	f.logger.Warn("control replica lost", "replica", replica, "index", f.index, "error", err)
+	f.caller.Forget(replica)
+	f.last, f.current = replica, netip.AddrPort{}
+}
+
+func (f *Follower) request(wait time.Duration) *director.WatchRequest {
+	return &director.WatchRequest{Index: f.index, Wait: wait, DataCentre: f.dataCentre}
+}
+
+// found is the outcome of asking one replica.
+type found struct {
+	replica netip.AddrPort
+	resp    *director.WatchResponse
+	err     error
+}
+
+// search asks the replicas one after the other without waiting for the answers of
+// the earlier ones, as calls to VMs without power hang. The first that answers and
+// does not lag behind this entry becomes the current one.
+func (f *Follower) search(ctx context.Context) bool {
+	replicas := f.candidates()
+	ctx, cancel := context.WithTimeout(ctx, searchLimit)
+	defer cancel()
+	answers := make(chan found, len(replicas))
+	req := f.request(0)
+	stagger := f.clock.Subscribe("next replica of a search", searchStagger)
+	defer stagger.Cancel()
+	for asked, open := 0, 0; open > 0 || asked < len(replicas); {
+		if asked < len(replicas) {
+			replica := replicas[asked]
+			asked, open = asked+1, open+1
+			go func() {
+				resp, err := f.caller.Watch(ctx, replica, req)
+				answers <- found{replica: replica, resp: resp, err: err}
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			f.forget(replicas)
+			return false
+		case <-stagger.C:
+		case a := <-answers:
+			open--
+			if a.err != nil {
+				f.caller.Forget(a.replica)
+				f.logger.Debug("control replica did not answer", "replica", a.replica, "error", a.err)
+				continue
+			}
+			if a.resp.Index >= f.index {
+				f.logger.Info("control replica followed", "replica", a.replica, "index", a.resp.Index, "searches", f.failures+1)
+				f.current, f.failures = a.replica, 0
+				f.take(a.resp)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forget closes the connections to replicas that have not answered, as they may
+// be silent for good.
+func (f *Follower) forget(replicas []netip.AddrPort) {
+	for _, replica := range replicas {
+		f.caller.Forget(replica)
 	}
-	f.take(resp)
-	return true
 }
 
 // take hands over an answer. A replica that lags behind this entry is ignored, so
@@ -131,13 +199,16 @@
 		}
 		changes = append(changes, change)
 	}
+	if len(resp.Replicas) > 0 {
+		f.replicas = resp.Replicas
+	}
 	f.index = resp.Index
 	f.receiver.Update(resp.Index, changes, resp.Complete, f.clock.Now())
 }
 
-// next returns the replica after the current one, among those known and the
-// seeds.
-func (f *Follower) next() netip.AddrPort {
+// candidates returns all replicas that are known, those that the last answer named
+// before the seeds, and the one that was lost last at the end.
+func (f *Follower) candidates() []netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := slices.Clone(f.replicas)
@@ -146,8 +217,9 @@
 			all = append(all, seed)
 		}
 	}
-	if len(all) == 0 {
-		return netip.AddrPort{}
+	f.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if i := slices.Index(all, f.last); i >= 0 {
+		all = append(slices.Delete(all, i, i+1), f.last)
 	}
-	return all[(slices.Index(all, f.current)+1)%len(all)]
+	return all
 }
