Avoid backend servers that leave packets unanswered

Ruled out: resets of open flows on suspicion, as nothing proves the death; status probes, as a silent VM does not answer them either. Change: repeated packets without any answer since count as silence; requests at work are estimated from what callers send and acknowledge.

--- a/entry/services/steerer/flow.go
+++ b/entry/services/steerer/flow.go
@@ -24,26 +24,42 @@
 	return float64(xxhash.Sum64(b)>>11) / (1 << 53)
 }
 
-// flow is what an entry knows of a flow whose packets it carries.
+// flow is what an entry knows of a flow whose packets it carries. The answers of
+// backend servers do not pass entries; what callers acknowledge shows them.
 type flow struct {
 	token  director.Token
 	copies uint32
 	seenAt time.Time
+	// isOpen tells that the caller has acknowledged the answer to its opening
+	// packet.
+	isOpen bool
+	// isWaiting tells that the caller has sent a request, up to sequence, and
+	// acknowledged nothing since.
+	isWaiting              bool
+	sequence, acknowledged uint32
+	// isOverdue tells that the request was repeated.
+	isOverdue bool
 }
 
-func (s *Steerer) remember(key flowKey, f flow) {
+func (s *Steerer) remember(key flowKey, f flow) *flow {
 	if len(s.flows) >= s.settings.MaxFlows {
-		return
+		return nil
 	}
 	s.flows[key] = &f
 	s.selector.addFlow(f.token, 1)
+	return &f
 }
 
 func (s *Steerer) forget(key flowKey) {
-	if f, ok := s.flows[key]; ok {
-		s.selector.addFlow(f.token, -1)
-		delete(s.flows, key)
+	f, ok := s.flows[key]
+	if !ok {
+		return
 	}
+	s.selector.addFlow(f.token, -1)
+	if f.isWaiting {
+		s.selector.addRequest(f.token, -1)
+	}
+	delete(s.flows, key)
 }
 
 // follow notes a packet of an open flow.
@@ -54,12 +70,50 @@
 		return
 	}
 	f, ok := s.flows[key]
-	if ok && f.token == server.Token {
-		f.seenAt = now
+	if !ok || f.token != server.Token {
+		s.forget(key)
+		// Another entry carried the flow before, so nothing is known of its state.
+		if f = s.remember(key, flow{token: server.Token, isOpen: true, acknowledged: p.Acknowledged}); f == nil {
+			return
+		}
+	}
+	f.seenAt = now
+	s.noteAnswer(f, p)
+	if p.HasData {
+		s.noteRequest(f, p, now)
+	}
+}
+
+// noteAnswer notes what a caller acknowledges, which shows that the backend
+// server answers.
+func (s *Steerer) noteAnswer(f *flow, p Packet) {
+	if f.isOpen && p.Acknowledged == f.acknowledged {
 		return
 	}
-	s.forget(key)
-	s.remember(key, flow{token: server.Token, seenAt: now})
+	f.isOpen, f.acknowledged = true, p.Acknowledged
+	s.selector.noteAnswer(f.token)
+	if f.isWaiting {
+		f.isWaiting, f.isOverdue = false, false
+		s.selector.addRequest(f.token, -1)
+	}
+}
+
+// noteRequest notes bytes of a caller. Those that are sent again have not been
+// answered in time.
+func (s *Steerer) noteRequest(f *flow, p Packet, now time.Time) {
+	if !f.isWaiting {
+		f.isWaiting, f.sequence = true, p.Sequence
+		s.selector.addRequest(f.token, 1)
+		return
+	}
+	if int32(p.Sequence-f.sequence) > 0 {
+		f.sequence = p.Sequence
+		return
+	}
+	if !f.isOverdue {
+		f.isOverdue = true
+		s.selector.noteSilence(f.token, now)
+	}
 }
 
 // Sweep forgets flows that have been idle for longer than the idle timeout.
--- a/entry/services/steerer/packet.go
+++ b/entry/services/steerer/packet.go
@@ -24,8 +24,11 @@
 	Copy uint32
 	// IsReset and IsFinal tell that the caller ends the flow.
 	IsReset, IsFinal bool
-	// HasData tells that the packet carries bytes of the caller.
-	HasData bool
+	// HasData tells that the packet carries bytes of the caller, from Sequence on.
+	HasData  bool
+	Sequence uint32
+	// Acknowledged is up to where the caller has received.
+	Acknowledged uint32
 }
 
 // Action is what happens to a packet.
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -15,6 +15,16 @@
 	// another data centre is avoided: above any real load, so that flows stay at
 	// home, survive a cut between data centres, and cost no bytes on their links.
 	remotePenalty = 1000.0
+	// silencePenalty is the load by which a silent backend server is avoided. It is
+	// above remotePenalty, as a caller waits 200 ms for each choice of a dead one.
+	silencePenalty = 10_000.0
+	// silenceHold is how long a backend server is avoided after one packet without
+	// an answer; each further one doubles it up to maxSilenceHold, by when the lease
+	// of a dead one has expired.
+	silenceHold    = time.Second
+	maxSilenceHold = 4 * time.Second
+	// requestWeight is the load of a request at work, in flows.
+	requestWeight = 2.0
 )
 
 // candidate is a backend server that may get new flows.
@@ -33,13 +43,23 @@
 	rng        *rand.Rand
 	byService  map[string][]candidate
 	flows      map[director.Token]int
+	requests   map[director.Token]int
 	coldUntil  map[director.Token]time.Time
+	silent     map[director.Token]silence
+}
+
+// silence is what speaks for the death of a backend server: packets that callers
+// had to repeat, without any answer on another flow since.
+type silence struct {
+	count int
+	until time.Time
 }
 
 func newSelector(dataCentre string, rng *rand.Rand) *selector {
 	return &selector{
 		dataCentre: dataCentre, rng: rng, byService: make(map[string][]candidate),
-		flows: make(map[director.Token]int), coldUntil: make(map[director.Token]time.Time),
+		flows: make(map[director.Token]int), requests: make(map[director.Token]int),
+		coldUntil: make(map[director.Token]time.Time), silent: make(map[director.Token]silence),
 	}
 }
 
@@ -78,6 +98,8 @@
 		if !known[token] {
 			delete(s.coldUntil, token)
 			delete(s.flows, token)
+			delete(s.requests, token)
+			delete(s.silent, token)
 		}
 	}
 }
@@ -113,16 +135,34 @@
 }
 
 func (s *selector) load(c candidate, now time.Time) float64 {
-	load := float64(s.flows[c.token]) / float64(c.slots)
+	load := (float64(s.flows[c.token]) + requestWeight*float64(s.requests[c.token])) / float64(c.slots)
 	if now.Before(c.coldUntil) {
 		load = (load + 1) * coldPenalty
 	}
 	if !c.isLocal {
 		load += remotePenalty
 	}
+	if now.Before(s.silent[c.token].until) {
+		load += silencePenalty
+	}
 	return load
 }
 
+// noteSilence notes that a backend server has not answered a packet in time.
+func (s *selector) noteSilence(token director.Token, now time.Time) {
+	count := s.silent[token].count + 1
+	s.silent[token] = silence{count: count, until: now.Add(min(silenceHold<<min(count-1, 8), maxSilenceHold))}
+}
+
+// noteAnswer notes that a backend server answers.
+func (s *selector) noteAnswer(token director.Token) { delete(s.silent, token) }
+
+func (s *selector) addRequest(token director.Token, n int) {
+	if s.requests[token] += n; s.requests[token] <= 0 {
+		delete(s.requests, token)
+	}
+}
+
 func (s *selector) addFlow(token director.Token, n int) {
 	if s.flows[token] += n; s.flows[token] <= 0 {
 		delete(s.flows, token)
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -141,7 +141,9 @@
 			known.seenAt = now
 			return Verdict{Action: ActionForward, Server: server}
 		}
-		tried = known.token
+		if tried = known.token; p.Copy > known.copies {
+			s.selector.noteSilence(tried, now)
+		}
 		s.forget(key)
 	}
 	service := route.PickService(key.point())
