--- /dev/null
+++ b/control/services/director/machine_test.go
@@ -0,0 +1,230 @@
+package director
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+var (
+	addressA = netip.MustParseAddrPort("10.0.0.1:80")
+	addressB = netip.MustParseAddrPort("10.0.0.2:80")
+	routeA   = netip.MustParseAddrPort("198.18.0.1:443")
+	routeB   = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// log applies commands in order and returns the errors that a test expects.
+type log struct {
+	t       *testing.T
+	machine *Machine
+	index   uint64
+}
+
+func newLog(t *testing.T) *log { return &log{t: t, machine: NewMachine()} }
+
+func (l *log) apply(command Command) error {
+	l.t.Helper()
+	data, err := Encode(command)
+	require.NoError(l.t, err)
+	l.index++
+	_, err = l.machine.Apply(l.index, data)
+	return err
+}
+
+func (l *log) accept(command Command) {
+	l.t.Helper()
+	require.NoError(l.t, l.apply(command))
+}
+
+func announce(host string, address netip.AddrPort, incarnation, sequence uint64, draining bool) Announce {
+	return Announce{Announcements: []Announcement{{Draining: draining, Server: director.Server{
+		Host: host, Service: "orders", Address: address, DataCentre: "a", Slots: 2, Incarnation: incarnation, Sequence: sequence,
+	}}}}
+}
+
+func declaration(version uint64, routes ...director.Route) Declare {
+	d := director.Declaration{Version: version, Services: []director.DeclaredService{{Name: "orders"}, {Name: "manifests"}}}
+	for _, r := range routes {
+		d.Routes = append(d.Routes, director.DeclaredRoute{Name: r.Address.String(), Timeout: time.Second, Route: r})
+	}
+	return Declare{Declaration: d}
+}
+
+func route(address netip.AddrPort, service string) director.Route {
+	return director.Route{Address: address, Kind: director.KindSafe, Shares: []director.Share{{Service: service, Weight: 1}}}
+}
+
+func (l *log) requireStates(want map[string]director.State) {
+	l.t.Helper()
+	got := make(map[string]director.State)
+	for _, s := range l.machine.Servers() {
+		got[s.Host] = s.State
+	}
+	require.Equal(l.t, want, got)
+}
+
+func TestAnnounce(t *testing.T) {
+	t.Parallel()
+	t.Run("a delayed announcement does not end a drain", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(announce("h1", addressA, 100, 5, true))
+		require.True(t, IsErrStaleAnnouncement(l.apply(announce("h1", addressA, 100, 4, false))))
+		l.requireStates(map[string]director.State{"h1": director.StateDraining})
+	})
+	t.Run("a new start at the address ends the one before", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(announce("h2", addressA, 200, 1, false))
+		l.requireStates(map[string]director.State{"h1": director.StateGone, "h2": director.StateReady})
+	})
+	t.Run("an announcement from before the new start is refused", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h2", addressA, 200, 1, false))
+		require.True(t, IsErrStaleAnnouncement(l.apply(announce("h1", addressA, 100, 9, false))))
+		l.requireStates(map[string]director.State{"h2": director.StateReady})
+	})
+	t.Run("a restart under the same name gets another token", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 50, false))
+		l.accept(announce("h1", addressA, 200, 1, false))
+		servers := l.machine.Servers()
+		require.Len(t, servers, 2)
+		require.Equal(t, director.StateGone, servers[0].State)
+		require.Equal(t, director.StateReady, servers[1].State)
+		require.True(t, IsErrStaleAnnouncement(l.apply(announce("h1", addressA, 100, 60, false))))
+	})
+	t.Run("one that ended does not come back", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(Withdraw{Host: "h1", Incarnation: 100})
+		require.True(t, IsErrStaleAnnouncement(l.apply(announce("h1", addressA, 100, 2, false))))
+	})
+	t.Run("a withdrawal of an earlier start changes nothing", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 200, 1, false))
+		l.accept(Withdraw{Host: "h1", Incarnation: 100})
+		l.requireStates(map[string]director.State{"h1": director.StateReady})
+	})
+	t.Run("a lapsed one is ready again after an announcement", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(Expire{Lapsed: []director.Token{1}})
+		l.requireStates(map[string]director.State{"h1": director.StateLapsed})
+		l.accept(announce("h1", addressA, 100, 2, false))
+		l.requireStates(map[string]director.State{"h1": director.StateReady})
+		require.Len(t, l.machine.Servers(), 1)
+	})
+	t.Run("tokens are never used twice", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(Withdraw{Host: "h1"})
+		l.accept(Expire{Forget: []director.Token{1}})
+		l.accept(announce("h1", addressA, 200, 1, false))
+		require.Equal(t, director.Token(2), l.machine.Servers()[0].Token)
+	})
+}
+
+func TestDeclare(t *testing.T) {
+	t.Parallel()
+	t.Run("an older version and other content under the version held change nothing", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(declaration(7, route(routeA, "orders")))
+		l.accept(declaration(6))
+		l.accept(declaration(7, route(routeB, "orders")))
+		require.Equal(t, uint64(7), l.machine.Declared().Version)
+		require.Equal(t, routeA, l.machine.Declared().Routes[0].Route.Address)
+	})
+	t.Run("a route keeps the services that it named before", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(declaration(1, route(routeA, "orders")))
+		l.accept(declaration(2, route(routeA, "manifests")))
+		changes, _, _ := l.machine.Since(1)
+		require.Contains(t, changes, director.RouteChanged{Route: director.Route{
+			Address: routeA, Kind: director.KindSafe, Shares: []director.Share{{Service: "manifests", Weight: 1}}, Former: []string{"orders"},
+		}})
+	})
+	t.Run("only what changed is sent", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		l.accept(declaration(1, route(routeA, "orders"), route(routeB, "orders")))
+		l.accept(declaration(2, route(routeA, "orders")))
+		changes, index, complete := l.machine.Since(1)
+		require.Equal(t, []director.Change{director.RouteRemoved{Address: routeB}, director.VersionChanged{Version: 2}}, changes)
+		require.Equal(t, uint64(2), index)
+		require.False(t, complete)
+	})
+}
+
+// Guards against entries that miss a change or go back, whatever index they ask
+// from and whatever the replica was restored from.
+func TestSinceLeadsToTheSameState(t *testing.T) {
+	t.Parallel()
+	l := newLog(t)
+	l.accept(declaration(1, route(routeA, "orders")))
+	l.accept(announce("h1", addressA, 100, 1, false))
+	l.accept(announce("h2", addressB, 100, 1, false))
+	l.accept(TakeOut{DataCentre: "a", TakenOut: true})
+	l.accept(announce("h3", addressA, 300, 1, false))
+	l.accept(declaration(2, route(routeA, "manifests"), route(routeB, "orders")))
+	l.accept(Withdraw{Host: "h2"})
+	snapshot, err := l.machine.Snapshot()
+	require.NoError(t, err)
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(snapshot))
+	want, _, _ := l.machine.Since(0)
+	for name, m := range map[string]*Machine{"running": l.machine, "restored": restored} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for from := range l.index + 1 {
+				copied := director.NewDirectory()
+				if from > 0 {
+					early := newLog(t)
+					replay(t, early, from)
+					changes, _, _ := early.machine.Since(0)
+					applyAll(copied, changes)
+				}
+				changes, index, complete := m.Since(from)
+				if complete {
+					copied = director.NewDirectory()
+				}
+				applyAll(copied, changes)
+				require.Equal(t, l.index, index)
+				require.Equal(t, want, copied.Changes(), "from %d", from)
+			}
+		})
+	}
+}
+
+// replay applies the first commands of TestSinceLeadsToTheSameState.
+func replay(t *testing.T, l *log, count uint64) {
+	t.Helper()
+	commands := []Command{
+		declaration(1, route(routeA, "orders")), announce("h1", addressA, 100, 1, false), announce("h2", addressB, 100, 1, false),
+		TakeOut{DataCentre: "a", TakenOut: true}, announce("h3", addressA, 300, 1, false),
+		declaration(2, route(routeA, "manifests"), route(routeB, "orders")), Withdraw{Host: "h2"},
+	}
+	for _, c := range commands[:count] {
+		l.accept(c)
+	}
+}
+
+func applyAll(d *director.Directory, changes []director.Change) {
+	for _, c := range changes {
+		d.Apply(c)
+	}
+}
--- /dev/null
+++ b/entry/services/steerer/steerer_test.go
@@ -0,0 +1,257 @@
+package steerer_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/entry/services/steerer"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	route  = netip.MustParseAddrPort("198.18.0.1:443")
+	other  = netip.MustParseAddrPort("198.18.0.2:443")
+	caller = netip.MustParseAddrPort("100.64.0.7:40001")
+)
+
+func server(token director.Token, service, dataCentre string) director.Server {
+	return director.Server{
+		Token: token, Host: "i-1", Service: service, DataCentre: dataCentre, Slots: 2, State: director.StateReady,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(token)}), 80),
+	}
+}
+
+func routeTo(address netip.AddrPort, service string) director.RouteChanged {
+	return director.RouteChanged{Route: director.Route{Address: address, Shares: []director.Share{{Service: service, Weight: 1}}}}
+}
+
+// newSteerer returns an entry in data centre a with a route to service orders.
+func newSteerer(t *testing.T, changes ...director.Change) *steerer.Steerer {
+	t.Helper()
+	s := steerer.New(steerer.Settings{DataCentre: "a", MaxFlows: 100}, rand.New(rand.NewPCG(1, 1)))
+	s.Update(1, append([]director.Change{routeTo(route, "orders"), director.VersionChanged{Version: 1}}, changes...), true, start)
+	return s
+}
+
+func opening(from netip.AddrPort, copies uint32) steerer.Packet {
+	return steerer.Packet{Source: from, Destination: route, IsOpening: true, Copy: copies}
+}
+
+func from(i int) netip.AddrPort { return netip.AddrPortFrom(caller.Addr(), uint16(1000+i)) }
+
+func requireForwarded(t *testing.T, v steerer.Verdict, token director.Token) {
+	t.Helper()
+	require.Equal(t, steerer.ActionForward, v.Action, v.Reason.String())
+	require.Equal(t, token, v.Server.Token)
+}
+
+func requireRefused(t *testing.T, v steerer.Verdict, action steerer.Action, reason steerer.Reason) {
+	t.Helper()
+	require.Equal(t, action, v.Action)
+	require.Equal(t, reason.String(), v.Reason.String())
+}
+
+func TestDecide(t *testing.T) {
+	t.Parallel()
+	data := steerer.Packet{Source: caller, Destination: route, HasData: true}
+	t.Run("an entry without a view is silent", func(t *testing.T) {
+		t.Parallel()
+		s := steerer.New(steerer.Settings{}, rand.New(rand.NewPCG(1, 1)))
+		requireRefused(t, s.Decide(opening(caller, 0), start), steerer.ActionDrop, steerer.ReasonNoView)
+	})
+	t.Run("an address without a route is refused at once", func(t *testing.T) {
+		t.Parallel()
+		p := opening(caller, 0)
+		p.Destination = other
+		requireRefused(t, newSteerer(t).Decide(p, start), steerer.ActionReset, steerer.ReasonNoRoute)
+	})
+	t.Run("but not by an entry that has not heard from control", func(t *testing.T) {
+		t.Parallel()
+		p := opening(caller, 0)
+		p.Destination = other
+		requireRefused(t, newSteerer(t).Decide(p, start.Add(time.Minute)), steerer.ActionDrop, steerer.ReasonStaleView)
+	})
+	t.Run("an opening packet without a backend server is refused at once", func(t *testing.T) {
+		t.Parallel()
+		requireRefused(t, newSteerer(t).Decide(opening(caller, 0), start), steerer.ActionReset, steerer.ReasonNoServer)
+	})
+	t.Run("a token that is not known is never answered", func(t *testing.T) {
+		t.Parallel()
+		p := data
+		p.Token = 9
+		requireRefused(t, newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")}).Decide(p, start), steerer.ActionDrop, steerer.ReasonUnknownToken)
+	})
+	t.Run("a token of another service is not followed", func(t *testing.T) {
+		t.Parallel()
+		p := data
+		p.Token = 1
+		requireRefused(t, newSteerer(t, director.ServerChanged{Server: server(1, "manifests", "a")}).Decide(p, start), steerer.ActionDrop, steerer.ReasonOtherService)
+	})
+	t.Run("a flow stays at a draining, lapsed or taken out backend server", func(t *testing.T) {
+		t.Parallel()
+		for _, state := range []director.State{director.StateDraining, director.StateLapsed} {
+			s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a").WithState(state)}, director.DataCentreChanged{Name: "a", TakenOut: true})
+			p := data
+			p.Token = 1
+			requireForwarded(t, s.Decide(p, start), 1)
+		}
+	})
+	t.Run("a flow at a backend server that has ended is reset", func(t *testing.T) {
+		t.Parallel()
+		p := data
+		p.Token = 1
+		s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a").WithState(director.StateGone)})
+		requireRefused(t, s.Decide(p, start), steerer.ActionReset, steerer.ReasonServerGone)
+		p.IsReset = true
+		requireRefused(t, s.Decide(p, start), steerer.ActionDrop, steerer.ReasonServerGone)
+	})
+	t.Run("a flow stays when its route names another service", func(t *testing.T) {
+		t.Parallel()
+		s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")})
+		moved := director.Route{Address: route, Shares: []director.Share{{Service: "manifests", Weight: 1}}, Former: []string{"orders"}}
+		s.Update(2, []director.Change{director.RouteChanged{Route: moved}}, false, start)
+		p := data
+		p.Token = 1
+		requireForwarded(t, s.Decide(p, start), 1)
+		requireRefused(t, s.Decide(opening(from(1), 0), start), steerer.ActionReset, steerer.ReasonNoServer)
+	})
+}
+
+func TestOpen(t *testing.T) {
+	t.Parallel()
+	two := []director.Change{director.ServerChanged{Server: server(1, "orders", "a")}, director.ServerChanged{Server: server(2, "orders", "a")}}
+	t.Run("flows are spread", func(t *testing.T) {
+		t.Parallel()
+		s, count := newSteerer(t, two...), make(map[director.Token]int)
+		for i := range 20 {
+			count[s.Decide(opening(from(i), 0), start).Server.Token]++
+		}
+		require.Equal(t, map[director.Token]int{1: 10, 2: 10}, count)
+	})
+	t.Run("the same packet twice meets the same choice", func(t *testing.T) {
+		t.Parallel()
+		s := newSteerer(t, two...)
+		first := s.Decide(opening(caller, 0), start)
+		requireForwarded(t, s.Decide(opening(caller, 0), start), first.Server.Token)
+	})
+	t.Run("a copy goes to another backend server", func(t *testing.T) {
+		t.Parallel()
+		s := newSteerer(t, two...)
+		first := s.Decide(opening(caller, 0), start)
+		second := s.Decide(opening(caller, 1), start.Add(200*time.Millisecond))
+		requireForwarded(t, second, 3-first.Server.Token)
+	})
+	t.Run("home comes first, and others serve when home is taken out", func(t *testing.T) {
+		t.Parallel()
+		s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")}, director.ServerChanged{Server: server(2, "orders", "b")})
+		for i := range 10 {
+			requireForwarded(t, s.Decide(opening(from(i), 0), start), 1)
+		}
+		s.Update(2, []director.Change{director.DataCentreChanged{Name: "a", TakenOut: true}}, false, start)
+		requireForwarded(t, s.Decide(opening(from(10), 0), start), 2)
+	})
+	t.Run("draining backend servers get no new flows", func(t *testing.T) {
+		t.Parallel()
+		s := newSteerer(t, two...)
+		s.Update(2, []director.Change{director.ServerChanged{Server: server(1, "orders", "a").WithState(director.StateDraining)}}, false, start)
+		for i := range 10 {
+			requireForwarded(t, s.Decide(opening(from(i), 0), start), 2)
+		}
+	})
+	t.Run("lapsed ones only if there is no other", func(t *testing.T) {
+		t.Parallel()
+		lapsed := director.ServerChanged{Server: server(1, "orders", "a").WithState(director.StateLapsed)}
+		requireForwarded(t, newSteerer(t, lapsed).Decide(opening(caller, 0), start), 1)
+		requireForwarded(t, newSteerer(t, two[1], lapsed).Decide(opening(caller, 0), start), 2)
+	})
+}
+
+// Load: a backend server is dead, but its lease has not expired. Callers must meet
+// it rarely.
+func TestSilentServerIsAvoided(t *testing.T) {
+	t.Parallel()
+	const dead, flows = director.Token(1), 60
+	s, met, now := newSteerer(t, director.ServerChanged{Server: server(dead, "orders", "a")}, director.ServerChanged{Server: server(2, "orders", "b")}), 0, start
+	for i := range flows {
+		now = now.Add(50 * time.Millisecond)
+		if v := s.Decide(opening(from(i), 0), now); v.Server.Token == dead {
+			met++
+			requireForwarded(t, s.Decide(opening(from(i), 1), now.Add(200*time.Millisecond)), 2)
+		} else {
+			answered(t, s, from(i), v.Server.Token, now)
+		}
+	}
+	// 3 s are under the holds of 1 s and 2 s and the start of a third.
+	require.LessOrEqual(t, met, 3, "callers that met the dead backend server")
+}
+
+// answered acknowledges the answer to an opening packet.
+func answered(t *testing.T, s *steerer.Steerer, source netip.AddrPort, token director.Token, now time.Time) {
+	t.Helper()
+	requireForwarded(t, s.Decide(steerer.Packet{Source: source, Destination: route, Token: token, Acknowledged: 1}, now), token)
+}
+
+// Guards against a backend server that stays avoided although it answers again.
+func TestAnswerEndsSilence(t *testing.T) {
+	t.Parallel()
+	s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")}, director.ServerChanged{Server: server(2, "orders", "b")})
+	requireForwarded(t, s.Decide(opening(from(1), 0), start), 1)
+	requireForwarded(t, s.Decide(opening(from(1), 1), start), 2)
+	requireForwarded(t, s.Decide(opening(from(2), 0), start), 2)
+	// The first packet of a flow that another entry carried before shows nothing.
+	answered(t, s, from(3), 1, start)
+	requireForwarded(t, s.Decide(opening(from(4), 0), start), 2)
+	requireForwarded(t, s.Decide(steerer.Packet{Source: from(3), Destination: route, Token: 1, Acknowledged: 2}, start), 1)
+	requireForwarded(t, s.Decide(opening(from(5), 0), start), 1)
+}
+
+// Guards against an update that arrives late and takes the view back.
+func TestViewMovesForwardsOnly(t *testing.T) {
+	t.Parallel()
+	s := newSteerer(t)
+	s.Update(5, []director.Change{director.VersionChanged{Version: 5}}, false, start)
+	s.Update(4, []director.Change{director.VersionChanged{Version: 4}}, true, start)
+	require.Equal(t, uint64(5), s.Status(start).Version)
+}
+
+// Guards against memory that grows with flows that have ended in silence.
+func TestSweepForgetsIdleFlows(t *testing.T) {
+	t.Parallel()
+	s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")})
+	for i := range 10 {
+		requireForwarded(t, s.Decide(opening(from(i), 0), start), 1)
+	}
+	require.Equal(t, 10, s.Status(start).Flows)
+	s.Sweep(start.Add(time.Hour))
+	require.Zero(t, s.Status(start).Flows)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	s := steerer.New(steerer.Settings{DataCentre: "a", MaxFlows: 100_000}, rand.New(rand.NewPCG(1, 1)))
+	s.Update(1, []director.Change{
+		routeTo(route, "orders"), director.VersionChanged{Version: 1}, director.ServerChanged{Server: server(1, "orders", "a")},
+	}, true, start)
+	p := steerer.Packet{Source: caller, Destination: route, Token: 1, HasData: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Sequence++
+		p.Acknowledged++
+		s.Decide(p, start)
+	}
+}
+
+// Guards against an allocation for each packet of an open flow.
+func TestDecideDoesNotAllocate(t *testing.T) {
+	s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")})
+	p := steerer.Packet{Source: caller, Destination: route, Token: 1, HasData: true}
+	s.Decide(p, start)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		p.Sequence++
+		s.Decide(p, start)
+	}))
+}
