Write decisions to the log through a bounded ring

Cause: an on-call engineer could not tell from the logs why a flow was placed, refused or reset, and a full pipe could have stopped a program. Change: all programs log to standard output through a ring that drops and counts; a gate limits each kind of line before it is built; entries log placements, repeats, refusals and changes of the view with index, version and age; control logs announcements, withdrawals, configurations and refused calls; counters are served as text at the metrics address of the deploy file.

--- a/control/services/director/machine_test.go
+++ b/control/services/director/machine_test.go
@@ -18,15 +18,15 @@
 )
 
 // log applies commands in order and returns the errors that a test expects.
-type log struct {
+type history struct {
 	t       *testing.T
 	machine *Machine
 	index   uint64
 }
 
-func newLog(t *testing.T) *log { return &log{t: t, machine: NewMachine()} }
+func newLog(t *testing.T) *history { return &history{t: t, machine: NewMachine()} }
 
-func (l *log) apply(command Command) error {
+func (l *history) apply(command Command) error {
 	l.t.Helper()
 	data, err := Encode(command)
 	require.NoError(l.t, err)
@@ -35,7 +35,7 @@
 	return err
 }
 
-func (l *log) accept(command Command) {
+func (l *history) accept(command Command) {
 	l.t.Helper()
 	require.NoError(l.t, l.apply(command))
 }
@@ -58,7 +58,7 @@
 	return director.Route{Address: address, Kind: director.KindSafe, Shares: []director.Share{{Service: service, Weight: 1}}}
 }
 
-func (l *log) requireStates(want map[string]director.State) {
+func (l *history) requireStates(want map[string]director.State) {
 	l.t.Helper()
 	got := make(map[string]director.State)
 	for _, s := range l.machine.Servers() {
@@ -211,7 +211,7 @@
 }
 
 // replay applies the first commands of TestSinceLeadsToTheSameState.
-func replay(t *testing.T, l *log, count uint64) {
+func replay(t *testing.T, l *history, count uint64) {
 	t.Helper()
 	commands := []Command{
 		declaration(1, route(routeA, "orders")), announce("h1", addressA, 100, 1, false), announce("h2", addressB, 100, 1, false),
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
@@ -91,12 +92,14 @@
 	}
 	token, ok := machine.IsKnown(a)
 	if !ok {
-		if err := s.propose(ctx, Announce{Announcements: []Announcement{a}}); err != nil {
+		err := s.propose(ctx, Announce{Announcements: []Announcement{a}})
+		token, ok = s.machine().IsKnown(a)
+		s.logger.Info("announcement received", log.FieldHost, a.Server.Host, log.FieldToken, token, log.FieldAddress, a.Server.Address,
+			log.FieldService, a.Server.Service, log.FieldDataCentre, a.Server.DataCentre, "draining", a.Draining,
+			"incarnation", a.Server.Incarnation, "sequence", a.Server.Sequence, log.FieldError, err)
+		if err != nil || !ok {
 			return err
 		}
-		if token, ok = s.machine().IsKnown(a); !ok {
-			return nil
-		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,7 +109,9 @@
 
 // Withdraw records that a backend server has ended.
 func (s *Service) Withdraw(ctx context.Context, host string, incarnation uint64) error {
-	return s.propose(ctx, Withdraw{Host: host, Incarnation: incarnation})
+	err := s.propose(ctx, Withdraw{Host: host, Incarnation: incarnation})
+	s.logger.Info("withdrawal received", log.FieldHost, host, "incarnation", incarnation, log.FieldError, err)
+	return err
 }
 
 // Leader returns the gRPC address of the replica that leads, if one is known.
--- a/entry/routers/carrier/carrier.go
+++ b/entry/routers/carrier/carrier.go
@@ -53,6 +53,8 @@
 	clock   timer.Service
 	logger  *slog.Logger
 	running sync.WaitGroup
+	// recorder writes the decisions to the log.
+	recorder *recorder
 
 	received, forwarded, resets, malformed, sendErrors *expvar.Int
 	refused                                            *expvar.Map
@@ -68,7 +70,7 @@
 		logger.Warn("receive buffer keeps its default size", "error", err)
 	}
 	return &Carrier{
-		conn: conn, codec: codec, steerer: s, clock: clock, logger: logger,
+		conn: conn, codec: codec, steerer: s, clock: clock, logger: logger, recorder: newRecorder(logger),
 		received: counters.Int("packets_received"), forwarded: counters.Int("packets_forwarded"),
 		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
 		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
@@ -121,10 +123,12 @@
 		c.malformed.Add(1)
 		return
 	}
-	verdict := c.steerer.Decide(packet, c.clock.Now())
+	now := c.clock.Now()
+	verdict := c.steerer.Decide(packet, now)
 	if verdict.Reason != steerer.ReasonNone {
 		c.refused.Add(verdict.Reason.String(), 1)
 	}
+	c.recorder.record(packet, verdict, now)
 	switch verdict.Action {
 	case steerer.ActionForward:
 		bytes, err := c.codec.Forward(out[:0], datagram, verdict.Server)
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
@@ -26,6 +27,8 @@
 	// retryWait is the pause after a failed search; it doubles up to maxRetryWait.
 	retryWait    = 50 * time.Millisecond
 	maxRetryWait = 200 * time.Millisecond
+	// updateLines is the number of lines a second about changes of the view.
+	updateLines = 5
 	// searchStagger is the time between the calls of a search. It covers a call
 	// between data centres several times.
 	searchStagger = 60 * time.Millisecond
@@ -68,11 +71,13 @@
 	// failures counts the searches since a replica was followed.
 	failures int
 	rng      *rand.Rand
+	// updates limits the lines about changes of the view.
+	updates *log.Gate
 }
 
 // New returns a Follower that begins with the seeds.
 func New(caller Caller, receiver Receiver, seeds []netip.AddrPort, dataCentre string, clock timer.Service, rng *rand.Rand, logger *slog.Logger) *Follower {
-	return &Follower{caller: caller, receiver: receiver, seeds: seeds, dataCentre: dataCentre, clock: clock, rng: rng, logger: logger}
+	return &Follower{caller: caller, receiver: receiver, seeds: seeds, dataCentre: dataCentre, clock: clock, rng: rng, logger: logger, updates: log.NewGate(updateLines)}
 }
 
 // SetSeeds replaces the seeds.
@@ -202,6 +207,12 @@
 	if len(resp.Replicas) > 0 {
 		f.replicas = resp.Replicas
 	}
+	if now := f.clock.Now(); len(changes) > 0 {
+		if leftOut, ok := f.updates.Pass(now); ok {
+			f.logger.Info("view changed", log.FieldReplica, f.current, "from", f.index, log.FieldIndex, resp.Index,
+				"changes", len(changes), "complete", resp.Complete, log.FieldLeftOut, leftOut)
+		}
+	}
 	f.index = resp.Index
 	f.receiver.Update(resp.Index, changes, resp.Complete, f.clock.Now())
 }
--- a/entry/services/follower/follower_test.go
+++ b/entry/services/follower/follower_test.go
@@ -64,7 +64,9 @@
 	return nil, ctx.Err()
 }
 
-func refuse(context.Context, *director.WatchRequest) (*director.WatchResponse, error) { return nil, errDown }
+func refuse(context.Context, *director.WatchRequest) (*director.WatchResponse, error) {
+	return nil, errDown
+}
 
 // view notes the updates.
 type view struct {
--- a/entry/services/steerer/packet.go
+++ b/entry/services/steerer/packet.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
@@ -86,4 +87,41 @@
 	Reason Reason
 	// Server is where a forwarded packet goes.
 	Server director.Server
+	// Placement tells how a new flow was placed.
+	Placement Placement
+	// View is what the decision rests on.
+	View View
+}
+
+// Placement is the choice of a backend server for a new flow.
+type Placement struct {
+	// IsNew tells that a choice was made for this packet.
+	IsNew bool
+	// Open is the number of backend servers that could be chosen.
+	Open int
+	// Flows and Requests are the load of the chosen one, as far as this entry
+	// carries it.
+	Flows, Requests int
+	// IsHome tells that it is in the data centre of the entry, IsSilent that it has
+	// not answered lately.
+	IsHome, IsSilent bool
+	// Tried is the backend server that an earlier copy went to.
+	Tried director.Token
+}
+
+// View identifies a view and its age.
+type View struct {
+	Index   uint64
+	Version uint64
+	// Age is the time since control last confirmed the view.
+	Age time.Duration
+}
+
+// Reasons returns all reasons for not forwarding a packet.
+func Reasons() []Reason {
+	reasons := make([]Reason, 0, reasonCount)
+	for r := ReasonNone + 1; r < reasonCount; r++ {
+		reasons = append(reasons, r)
+	}
+	return reasons
 }
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -168,3 +168,11 @@
 		delete(s.flows, token)
 	}
 }
+
+// describe returns how a choice looks to this entry.
+func (s *selector) describe(server director.Server, tried director.Token, now time.Time) Placement {
+	return Placement{
+		IsNew: true, Open: len(s.byService[server.Service]), Flows: s.flows[server.Token], Requests: s.requests[server.Token],
+		IsHome: server.DataCentre == s.dataCentre, IsSilent: now.Before(s.silent[server.Token].until), Tried: tried,
+	}
+}
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -92,6 +92,12 @@
 func (s *Steerer) Decide(p Packet, now time.Time) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	verdict := s.decide(p, now)
+	verdict.View = View{Index: s.index, Version: s.directory.Version, Age: now.Sub(s.viewedAt)}
+	return verdict
+}
+
+func (s *Steerer) decide(p Packet, now time.Time) Verdict {
 	if s.directory.Version == 0 {
 		return Verdict{Reason: ReasonNoView}
 	}
@@ -152,6 +158,7 @@
 	if !ok {
 		return Verdict{Action: ActionReset, Reason: ReasonNoServer}
 	}
+	placement := s.selector.describe(server, tried, now)
 	s.remember(key, flow{token: token, copies: p.Copy, seenAt: now})
-	return Verdict{Action: ActionForward, Server: server}
+	return Verdict{Action: ActionForward, Server: server, Placement: placement}
 }
--- /dev/null
+++ b/shared/modules/log/log_test.go
@@ -0,0 +1,82 @@
+package log_test
+
+import (
+	"bytes"
+	"expvar"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/modules/log"
+)
+
+// stuck is a writer that waits until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Buffer.Write(p)
+}
+
+// Guards against a program that waits for the reader of its logs.
+func TestWriterNeverBlocks(t *testing.T) {
+	t.Parallel()
+	const lines = 2000
+	out, dropped := &stuck{release: make(chan struct{})}, new(expvar.Int)
+	w := log.NewWriter(out, dropped)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range lines {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the writer blocks")
+	}
+	close(out.release)
+	w.Close()
+	written := bytes.Count(out.Bytes(), []byte("\n"))
+	require.Equal(t, int64(lines), dropped.Value()+int64(written))
+	require.Positive(t, written)
+}
+
+// Guards against an unbounded volume of lines, and against lines that vanish
+// without a count.
+func TestGate(t *testing.T) {
+	t.Parallel()
+	g, now := log.NewGate(3), time.Unix(100, 0)
+	passed := 0
+	for range 10 {
+		if _, ok := g.Pass(now); ok {
+			passed++
+		}
+	}
+	require.Equal(t, 3, passed)
+	leftOut, ok := g.Pass(now.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, 7, leftOut)
+}
+
+func TestGateDoesNotAllocate(t *testing.T) {
+	g, now := log.NewGate(1), time.Unix(100, 0)
+	require.Zero(t, testing.AllocsPerRun(100, func() { g.Pass(now) }))
+}
+
+func BenchmarkGateLeftOut(b *testing.B) {
+	g, now := log.NewGate(1), time.Unix(100, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Pass(now)
+	}
+}
--- a/shared/modules/runner/runner.go
+++ b/shared/modules/runner/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"log/slog"
@@ -50,9 +51,15 @@
 // stops it at SIGTERM or SIGINT or when ctx ends. A second signal ends the
 // process at once.
 func Run(ctx context.Context, common Common, logOutput io.Writer, options ...fx.Option) error {
-	logger := log.New(logOutput, common.Settings)
+	dropped := new(expvar.Int)
+	lines := log.NewWriter(logOutput, dropped)
+	defer lines.Close()
+	logger := log.New(lines, common.Settings)
 	app := fx.New(
 		fx.Supply(logger, common),
+		fx.Invoke(func(counters *reporter.Counters) {
+			counters.Func("log_lines_dropped", func() any { return dropped.Value() })
+		}),
 		fx.Provide(registrar.NewRegistry, reporter.NewCounters, newReadiness),
 		fx.Provide(func() timer.Service { return timer.NewSystem() }),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
