--- a/control/services/director/command.go
+++ b/control/services/director/command.go
@@ -121,6 +121,6 @@
 }
 
 // goneRetention is how long a backend server that has ended is remembered, so
-// that its flows are reset and late announcements are recognized: longer than
+// that its flows are reset and late announcements are recognised: longer than
 // flows last on the platforms that are served (60 s).
 const goneRetention = 70 * time.Second
--- a/control/services/director/machine_test.go
+++ b/control/services/director/machine_test.go
@@ -215,8 +215,10 @@
 	t.Helper()
 	commands := []Command{
 		declaration(1, route(routeA, "orders")), announce("h1", addressA, 100, 1, false), announce("h2", addressB, 100, 1, false),
-		TakeOut{DataCentre: "a", TakenOut: true}, announce("h3", addressA, 300, 1, false),
-		declaration(2, route(routeA, "manifests"), route(routeB, "orders")), Withdraw{Host: "h2"},
+		TakeOut{DataCentre: "a", TakenOut: true},
+		announce("h3", addressA, 300, 1, false),
+		declaration(2, route(routeA, "manifests"), route(routeB, "orders")),
+		Withdraw{Host: "h2"},
 	}
 	for _, c := range commands[:count] {
 		l.accept(c)
--- a/control/services/replicator/open_test.go
+++ b/control/services/replicator/open_test.go
@@ -22,7 +22,7 @@
 }
 
 // replace ends a replica for good and starts an empty one at another address.
-func (w *world) replace(n *node) *node {
+func (w *world) replace(n *node) {
 	if n.machine != nil {
 		w.kill(n)
 	}
@@ -35,7 +35,6 @@
 	w.settings.Bootstrap = false
 	w.nodes = append(w.nodes, fresh)
 	w.start(fresh)
-	return fresh
 }
 
 // turnSeeds lets replicas that start later know other ones.
--- a/entry/services/steerer/rotation_test.go
+++ b/entry/services/steerer/rotation_test.go
@@ -202,7 +202,7 @@
 			t.Parallel()
 			r := newRotation(t, 11, hash == "steady")
 			var clients []*client
-			for sent := 0; sent < packets; sent++ {
+			for sent := range packets {
 				if sent%400 == 0 {
 					r.disturb()
 				}
