--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -65,7 +65,8 @@
 	// replace replicas without telling who is to come.
 	OpenMembership bool
 	// MaxVoters bounds the voters of an open membership; further replicas stay
-	// non-voters. 0 means no bound.
+	// non-voters until a voter is silent. An odd number goes on in one half of an
+	// even split. 0 means no bound.
 	MaxVoters int
 	// RemoveSilentAfter is the silence after which an open membership removes a
 	// replica, as far as MinVoters voters that answer remain. The replica joins
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -19,8 +19,8 @@
 // reviewMembership makes at most one change: it adds a replica that asked to join
 // as a non-voter, or brings in one that has caught up.
 func (m *Machine) reviewMembership() {
-	if m.canChangeMembership() && !m.admitJoiner() && !m.promoteCaughtUp() {
-		m.removeSilent()
+	if m.canChangeMembership() && !m.admitJoiner() && !m.promoteCaughtUp() && !m.removeSilent() {
+		m.demoteSurplus()
 	}
 }
 
@@ -94,7 +94,7 @@
 				return true
 			}
 		}
-		if m.settings.MaxVoters > 0 && membership.Voters() >= m.settings.MaxVoters {
+		if m.settings.MaxVoters > 0 && m.countVotersThat(m.isHeard) >= m.settings.MaxVoters {
 			return false
 		}
 		member.Voter = true
@@ -107,32 +107,55 @@
 // removeSilent takes at most one replica that has long been silent out of an open
 // membership, so that replicas that are gone for good do not count against the
 // majority.
-func (m *Machine) removeSilent() {
+func (m *Machine) removeSilent() bool {
 	if !m.settings.OpenMembership || m.settings.RemoveSilentAfter <= 0 {
-		return
+		return false
 	}
 	membership := m.membership()
 	for _, member := range membership.Members {
-		p := m.leading.progress[member.ID]
-		if p == nil || m.clock()-max(p.sentAt, p.trackedAt) < int64(m.settings.RemoveSilentAfter) {
+		if m.isHeard(member.ID) {
 			continue
 		}
-		if member.Voter && (m.countFreshVoters() < m.settings.MinVoters || !m.canRemove(member.ID)) {
+		if member.Voter && (m.countVotersThat(m.isFresh) < m.settings.MinVoters || !m.canRemove(member.ID)) {
 			continue
 		}
 		m.changeMembership(membership.Without(member.ID))
+		return true
+	}
+	return false
+}
+
+// demoteSurplus takes the vote of a replica that came back after another one had
+// been promoted in its place.
+func (m *Machine) demoteSurplus() {
+	membership := m.membership()
+	if m.settings.MaxVoters <= 0 || m.countVotersThat(m.isFresh) <= m.settings.MaxVoters {
 		return
 	}
+	for _, member := range membership.Members {
+		if member.Voter && member.ID != m.id && m.canRemove(member.ID) {
+			member.Voter = false
+			m.changeMembership(membership.With(member))
+			return
+		}
+	}
+}
+
+// isHeard reports whether a replica has answered within RemoveSilentAfter.
+func (m *Machine) isHeard(id storer.Identity) bool {
+	p := m.leading.progress[id]
+	return id == m.id || p == nil || m.settings.RemoveSilentAfter <= 0 ||
+		m.clock()-max(p.sentAt, p.trackedAt) < int64(m.settings.RemoveSilentAfter)
 }
 
-func (m *Machine) countFreshVoters() int {
-	fresh := 0
+func (m *Machine) countVotersThat(holds func(storer.Identity) bool) int {
+	count := 0
 	for _, member := range m.membership().Members {
-		if member.Voter && m.isFresh(member.ID) {
-			fresh++
+		if member.Voter && holds(member.ID) {
+			count++
 		}
 	}
-	return fresh
+	return count
 }
 
 // canRemove reports whether a majority of the voters that remain answers.
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -93,7 +93,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	verdict := s.decide(p, now)
-	verdict.View = View{Index: s.index, Version: s.directory.Version, Age: now.Sub(s.viewedAt)}
+	if !s.viewedAt.IsZero() {
+		verdict.View = View{Index: s.index, Version: s.directory.Version, Age: now.Sub(s.viewedAt)}
+	}
 	return verdict
 }
 
