Explain flows from logs, and let new flows leave a full home

Cause: the on-call engineer had to sort the logs of many VMs by hand; and new flows queued at home while other data centres were idle. A backend server whose slots one entry fills 1.5 times counts as full. TestBurstSpills fails without the penalty.

--- a/entry/cmd/entry/main.go
+++ b/entry/cmd/entry/main.go
@@ -1,5 +1,5 @@
 // Command entry forwards packets between callers and backend servers on an entry
-// VM. See docs/operations.md for its settings.
+// VM. See docs/OPERATIONS.md for its settings.
 package main
 
 import (
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -15,6 +15,11 @@
 	// another data centre is avoided: above any real load, so that flows stay at
 	// home, survive a cut between data centres, and cost no bytes on their links.
 	remotePenalty = 1000.0
+	// saturationPenalty is the load by which a backend server is avoided whose slots
+	// this entry alone fills saturationFactor times: its next request waits for about
+	// as long as one takes, which is longer than the way to another data centre.
+	saturationPenalty = 2000.0
+	saturationFactor  = 1.5
 	// silencePenalty is the load by which a silent backend server is avoided. It is
 	// above remotePenalty, as a caller waits 200 ms for each choice of a dead one.
 	silencePenalty = 10_000.0
@@ -142,6 +147,9 @@
 	if !c.isLocal {
 		load += remotePenalty
 	}
+	if float64(s.requests[c.token]) >= saturationFactor*float64(c.slots) {
+		load += saturationPenalty
+	}
 	if now.Before(s.silent[c.token].until) {
 		load += silencePenalty
 	}
--- a/entry/services/steerer/steerer_test.go
+++ b/entry/services/steerer/steerer_test.go
@@ -255,3 +255,23 @@
 		s.Decide(p, start)
 	}))
 }
+
+// Load: a burst at one data centre fills the slots of its backend servers, while
+// those of another one are free. No caller may wait behind a full home.
+func TestBurstSpills(t *testing.T) {
+	t.Parallel()
+	s := newSteerer(t, director.ServerChanged{Server: server(1, "orders", "a")}, director.ServerChanged{Server: server(2, "orders", "b")})
+	count := make(map[director.Token]int)
+	for i := range 6 {
+		v := s.Decide(opening(from(i), 0), start)
+		count[v.Server.Token]++
+		answered(t, s, from(i), v.Server.Token, start)
+		s.Decide(steerer.Packet{Source: from(i), Destination: route, Token: v.Server.Token, Acknowledged: 1, HasData: true, Sequence: 1}, start)
+	}
+	require.Equal(t, map[director.Token]int{1: 3, 2: 3}, count)
+	// Once home has answered, it is used again.
+	for i := range 6 {
+		s.Decide(steerer.Packet{Source: from(i), Destination: route, Token: 1, Acknowledged: 9}, start)
+	}
+	requireForwarded(t, s.Decide(opening(from(9), 0), start), 1)
+}
--- a/rwctl/routers/commander/commander.go
+++ b/rwctl/routers/commander/commander.go
@@ -41,9 +41,13 @@
 	Status         statusCommand         `cmd:"" help:"Show the state of the system."`
 	Plans          plansCommand          `cmd:"" help:"List the open plans."`
 	Watch          watchCommand          `cmd:"" help:"Show each new line of the audit trail until interrupted."`
+	Explain        explainCommand        `cmd:"" help:"Show the life of one flow or backend server from log files, without asking control."`
 	Audit          auditCommand          `cmd:"" help:"Show or check the audit trail, or show a plan as the operator saw it."`
 }
 
+// explainName is what kong calls the command that needs no session.
+const explainName = "explain <files>"
+
 // session is what a command works with.
 type session struct {
 	ctx       context.Context
@@ -74,6 +78,13 @@
 		fmt.Fprintln(stderr, "rwctl:", err)
 		return ExitFault
 	}
+	if parsed.Command() == explainName {
+		if err := c.Explain.run(stdout); err != nil {
+			fmt.Fprintln(stderr, "rwctl:", err)
+			return ExitFault
+		}
+		return ExitDone
+	}
 	s, err := newSession(ctx, &c.settings, stdout, stderr)
 	if err == nil {
 		defer s.requester.Close()
--- a/shared/modules/log/fields.go
+++ b/shared/modules/log/fields.go
@@ -1,6 +1,6 @@
 package log
 
-// Fields of the lines of all programs. docs/operations.md explains them.
+// Fields of the lines of all programs. docs/OPERATIONS.md explains them.
 const (
 	// FieldCaller and FieldRoute are the two addresses of a flow.
 	FieldCaller = "caller"
