Serve latency histograms on the metrics address

Cause: counters alone do not show how long callers wait or changes take. Change: an HdrHistogram beside the counters; entries observe the time from a request to the first acknowledgement of its answer, control that of each commit. Conclusion: the metrics address has what an on-call engineer asks for first.

--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -21,6 +21,8 @@
 	// MinVoters is the number of replicas that must vote before anything is
 	// accepted, so that what is accepted survives the loss of a disk.
 	MinVoters int
+	// ObserveCommit, if set, gets the time that each command took to commit.
+	ObserveCommit func(time.Duration)
 }
 
 // sweepPeriod is the time between two checks of the leases.
@@ -157,7 +159,11 @@
 	if err != nil {
 		return err
 	}
+	began := s.clock.Now()
 	_, err = s.replica.Propose(ctx, data)
+	if s.settings.ObserveCommit != nil && err == nil {
+		s.settings.ObserveCommit(s.clock.Now().Sub(began))
+	}
 	return err
 }
 
--- a/entry/services/steerer/flow.go
+++ b/entry/services/steerer/flow.go
@@ -37,6 +37,8 @@
 	// acknowledged nothing since.
 	isWaiting              bool
 	sequence, acknowledged uint32
+	// requestedAt is when the request began.
+	requestedAt time.Time
 	// isOverdue tells that the request was repeated.
 	isOverdue bool
 }
@@ -78,7 +80,7 @@
 		}
 	}
 	f.seenAt = now
-	s.noteAnswer(f, p)
+	s.noteAnswer(f, p, now)
 	if p.HasData {
 		s.noteRequest(f, p, now)
 	}
@@ -86,7 +88,7 @@
 
 // noteAnswer notes what a caller acknowledges, which shows that the backend
 // server answers.
-func (s *Steerer) noteAnswer(f *flow, p Packet) {
+func (s *Steerer) noteAnswer(f *flow, p Packet, now time.Time) {
 	if f.isOpen && p.Acknowledged == f.acknowledged {
 		return
 	}
@@ -94,6 +96,9 @@
 	s.selector.noteAnswer(f.token)
 	if f.isWaiting {
 		f.isWaiting, f.isOverdue = false, false
+		if s.settings.ObserveAnswer != nil {
+			s.settings.ObserveAnswer(now.Sub(f.requestedAt))
+		}
 		s.selector.addRequest(f.token, -1)
 	}
 }
@@ -102,7 +107,7 @@
 // answered in time.
 func (s *Steerer) noteRequest(f *flow, p Packet, now time.Time) {
 	if !f.isWaiting {
-		f.isWaiting, f.sequence = true, p.Sequence
+		f.isWaiting, f.sequence, f.requestedAt = true, p.Sequence, now
 		s.selector.addRequest(f.token, 1)
 		return
 	}
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -23,6 +23,9 @@
 	// MaxFlows bounds the flows that are followed for load estimates. Others are
 	// routed all the same.
 	MaxFlows int
+	// ObserveAnswer, if set, gets the time from each request to the caller's first
+	// acknowledgement of its answer.
+	ObserveAnswer func(time.Duration)
 }
 
 // Steerer decides about packets. It is safe for concurrent use.
--- a/shared/modules/reporter/reporter.go
+++ b/shared/modules/reporter/reporter.go
@@ -62,13 +62,16 @@
 }
 
 func writeText(b *strings.Builder, kv expvar.KeyValue) {
-	if set, ok := kv.Value.(*expvar.Map); ok {
-		set.Do(func(member expvar.KeyValue) {
+	switch v := kv.Value.(type) {
+	case *expvar.Map:
+		v.Do(func(member expvar.KeyValue) {
 			writeText(b, expvar.KeyValue{Key: kv.Key + "." + member.Key, Value: member.Value})
 		})
-		return
+	case *Histogram:
+		v.writeText(b, kv.Key)
+	default:
+		fmt.Fprintf(b, "%s %s\n", kv.Key, kv.Value)
 	}
-	fmt.Fprintf(b, "%s %s\n", kv.Key, kv.Value)
 }
 
 // Readiness tells a fabric whether to hand new work to this process.
