Let entries take turns at cold backend servers

Cause: a service can declare the rate that a cold backend server bears (0 in all configurations seen); the rate was read and not used, and a cold start that began again without a restart was ignored. Ruled out: shares by rate at each entry, as unused shares would add up in one second. Change: control knows the entries that poll it, in the log; time since the announcement is cut into slots of one flow, which the entries own in turn. A caller that meets no slot is refused at once. Changes between cold and warm are recorded. Conclusion: no change where no rate is declared.

--- a/control/routers/broadcaster/broadcaster.go
+++ b/control/routers/broadcaster/broadcaster.go
@@ -19,28 +19,56 @@
 // the majority.
 const maxWait = 2 * time.Second
 
+// enlistTimeout bounds the call to the leader, which delays the answer to a poll.
+const enlistTimeout = 200 * time.Millisecond
+
 // Broadcaster answers the long polls of entries.
 type Broadcaster struct {
 	service  *service.Service
 	counters *reporter.Counters
+	pool     *transporter.Pool
 }
 
-// New returns a Broadcaster.
-func New(s *service.Service, counters *reporter.Counters) *Broadcaster {
-	return &Broadcaster{service: s, counters: counters}
+// New returns a Broadcaster. It reaches the leader through the pool.
+func New(s *service.Service, pool *transporter.Pool, counters *reporter.Counters) *Broadcaster {
+	return &Broadcaster{service: s, pool: pool, counters: counters}
 }
 
 // Service returns the gRPC service for entries.
 func (b *Broadcaster) Service() *transporter.Service {
 	s := transporter.NewService(director.ServiceName)
 	transporter.Handle(s, "Watch", b.watch)
+	transporter.Handle(s, "Enlist", b.enlist)
 	return s
 }
 
+// enlist adds an entry, on the replica that leads.
+func (b *Broadcaster) enlist(ctx context.Context, req *director.EnlistRequest) (*director.EnlistResponse, error) {
+	if err := b.service.Enlist(ctx, req.Entry); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &director.EnlistResponse{}, nil
+}
+
+// forwardEnlistment lets the leader add an entry that polls here. A failure is
+// counted; the next poll of the entry repeats it.
+func (b *Broadcaster) forwardEnlistment(ctx context.Context, entry string) {
+	leader, ok := b.service.Leader()
+	if !ok || entry == "" || b.service.Machine().IsEnlisted(entry) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
+	defer cancel()
+	if _, err := transporter.Call[director.EnlistRequest, director.EnlistResponse](ctx, b.pool, leader, director.EnlistMethod, &director.EnlistRequest{Entry: entry}); err != nil {
+		b.counters.Int("enlistment_failures").Add(1)
+	}
+}
+
 // watch returns the changes after the entry's index as soon as there are any. It
 // fails while this replica hears no leader with a majority, so that entries turn
 // to another replica.
 func (b *Broadcaster) watch(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
+	b.forwardEnlistment(ctx, req.Entry)
 	deadline, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWait))
 	defer cancel()
 	for {
--- a/control/services/director/command.go
+++ b/control/services/director/command.go
@@ -64,6 +64,13 @@
 	TakenOut   bool   `cbor:"taken_out"`
 }
 
+// Enlist adds an entry to those that share the rate of cold backend servers. Names
+// stay, so that the shares never add up to more than the rate.
+type Enlist struct {
+	sealed `cbor:"-"`
+	Entry  string `cbor:"entry"`
+}
+
 // commandBody carries one command. Exactly one field is set.
 type commandBody struct {
 	Declare  *Declare  `cbor:"1,keyasint,omitempty"`
@@ -71,6 +78,7 @@
 	Withdraw *Withdraw `cbor:"3,keyasint,omitempty"`
 	Expire   *Expire   `cbor:"4,keyasint,omitempty"`
 	TakeOut  *TakeOut  `cbor:"5,keyasint,omitempty"`
+	Enlist   *Enlist   `cbor:"6,keyasint,omitempty"`
 }
 
 var errUnknownCommand = errors.New("the command is of an unknown kind")
@@ -89,6 +97,8 @@
 		body.Expire = &c
 	case TakeOut:
 		body.TakeOut = &c
+	case Enlist:
+		body.Enlist = &c
 	default:
 		return nil, errUnknownCommand
 	}
@@ -115,6 +125,8 @@
 		return *body.Expire, nil
 	case body.TakeOut != nil:
 		return *body.TakeOut, nil
+	case body.Enlist != nil:
+		return *body.Enlist, nil
 	default:
 		return nil, errUnknownCommand
 	}
--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -94,6 +94,10 @@
 		if m.directory.IsTakenOut(c.DataCentre) != c.TakenOut {
 			m.change(director.DataCentreChanged{Name: c.DataCentre, TakenOut: c.TakenOut})
 		}
+	case Enlist:
+		if !m.directory.IsEnlisted(c.Entry) {
+			m.change(director.EntryEnlisted{Name: c.Entry})
+		}
 	default:
 		return errUnknownCommand
 	}
@@ -123,6 +127,11 @@
 			m.change(director.RouteRemoved{Address: route.Address})
 		}
 	}
+	for _, service := range d.Services {
+		if m.directory.ColdRate(service.Name) != service.ColdRate {
+			m.change(director.ServiceChanged{Name: service.Name, ColdRate: service.ColdRate})
+		}
+	}
 	m.change(director.VersionChanged{Version: d.Version, IdleTimeout: d.IdleTimeout})
 }
 
@@ -169,7 +178,7 @@
 	}
 	if isSame {
 		server.Token = known.Token
-		if known.State == server.State {
+		if known.State == server.State && known.IsCold() == server.IsCold() {
 			// Only the sequence and the rest of the cold start differ.
 			return known, nil, nil
 		}
@@ -283,7 +292,14 @@
 	if a.Draining {
 		state = director.StateDraining
 	}
-	return known.Token, known.State == state && a.Server.Sequence >= known.Sequence
+	return known.Token, known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
+}
+
+// IsEnlisted reports whether an entry was enlisted.
+func (m *Machine) IsEnlisted(entry string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.directory.IsEnlisted(entry)
 }
 
 // stored is the encoding of a snapshot.
--- a/control/services/director/machine_test.go
+++ b/control/services/director/machine_test.go
@@ -126,6 +126,20 @@
 		l.requireStates(map[string]director.State{"h1": director.StateReady})
 		require.Len(t, l.machine.Servers(), 1)
 	})
+	t.Run("a cold start that begins again is recorded, its rest is not", func(t *testing.T) {
+		t.Parallel()
+		l := newLog(t)
+		cold := announce("h1", addressA, 100, 2, false)
+		cold.Announcements[0].Server.ColdFor = 2 * time.Second
+		l.accept(announce("h1", addressA, 100, 1, false))
+		l.accept(cold)
+		cold.Announcements[0].Server.ColdFor = time.Second
+		cold.Announcements[0].Server.Sequence = 3
+		l.accept(cold)
+		require.Equal(t, 2*time.Second, l.machine.Servers()[0].ColdFor)
+		l.accept(announce("h1", addressA, 100, 4, false))
+		require.False(t, l.machine.Servers()[0].IsCold())
+	})
 	t.Run("tokens are never used twice", func(t *testing.T) {
 		t.Parallel()
 		l := newLog(t)
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -116,6 +116,16 @@
 	return err
 }
 
+// Enlist adds an entry to those that share the rate of cold backend servers.
+func (s *Service) Enlist(ctx context.Context, entry string) error {
+	if s.machine().IsEnlisted(entry) {
+		return nil
+	}
+	err := s.propose(ctx, Enlist{Entry: entry})
+	s.logger.Info("entry enlisted", "entry", entry, log.FieldError, err)
+	return err
+}
+
 // Leader returns the gRPC address of the replica that leads, if one is known.
 func (s *Service) Leader() (netip.AddrPort, bool) {
 	status := s.replica.Status()
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -59,6 +59,7 @@
 	clock      timer.Service
 	logger     *slog.Logger
 	dataCentre string
+	name       string
 
 	mu    sync.Mutex
 	seeds []netip.AddrPort
@@ -75,9 +76,9 @@
 	updates *log.Gate
 }
 
-// New returns a Follower that begins with the seeds.
-func New(caller Caller, receiver Receiver, seeds []netip.AddrPort, dataCentre string, clock timer.Service, rng *rand.Rand, logger *slog.Logger) *Follower {
-	return &Follower{caller: caller, receiver: receiver, seeds: seeds, dataCentre: dataCentre, clock: clock, rng: rng, logger: logger, updates: log.NewGate(updateLines)}
+// New returns a Follower of the named entry that begins with the seeds.
+func New(caller Caller, receiver Receiver, seeds []netip.AddrPort, name, dataCentre string, clock timer.Service, rng *rand.Rand, logger *slog.Logger) *Follower {
+	return &Follower{caller: caller, receiver: receiver, seeds: seeds, name: name, dataCentre: dataCentre, clock: clock, rng: rng, logger: logger, updates: log.NewGate(updateLines)}
 }
 
 // SetSeeds replaces the seeds.
@@ -128,7 +129,7 @@
 }
 
 func (f *Follower) request(wait time.Duration) *director.WatchRequest {
-	return &director.WatchRequest{Index: f.index, Wait: wait, DataCentre: f.dataCentre}
+	return &director.WatchRequest{Index: f.index, Wait: wait, DataCentre: f.dataCentre, Entry: f.name}
 }
 
 // found is the outcome of asking one replica.
--- a/entry/services/follower/follower_test.go
+++ b/entry/services/follower/follower_test.go
@@ -92,7 +92,7 @@
 func start(t *testing.T, r *replicas) *view {
 	t.Helper()
 	v := new(view)
-	f := follower.New(r, v, []netip.AddrPort{replicaA, replicaB}, "kano-a", timer.NewSystem(), rand.New(rand.NewPCG(1, 1)), log.Discard())
+	f := follower.New(r, v, []netip.AddrPort{replicaA, replicaB}, "entry-1", "kano-a", timer.NewSystem(), rand.New(rand.NewPCG(1, 1)), log.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -34,22 +34,23 @@
 
 // candidate is a backend server that may get new flows.
 type candidate struct {
-	token     director.Token
-	slots     int
-	isLocal   bool
-	coldUntil time.Time
+	token   director.Token
+	slots   int
+	isLocal bool
+	cold    *turns
 }
 
 // selector places new flows at the backend server with the fewest flows of this
 // entry for each slot. It answers the usual load, where slots are free: callers
 // get a response at once if their flows do not share a slot.
 type selector struct {
+	name       string
 	dataCentre string
 	rng        *rand.Rand
 	byService  map[string][]candidate
 	flows      map[director.Token]int
 	requests   map[director.Token]int
-	coldUntil  map[director.Token]time.Time
+	cold       map[director.Token]*turns
 	silent     map[director.Token]silence
 }
 
@@ -60,11 +61,11 @@
 	until time.Time
 }
 
-func newSelector(dataCentre string, rng *rand.Rand) *selector {
+func newSelector(name, dataCentre string, rng *rand.Rand) *selector {
 	return &selector{
-		dataCentre: dataCentre, rng: rng, byService: make(map[string][]candidate),
+		name: name, dataCentre: dataCentre, rng: rng, byService: make(map[string][]candidate),
 		flows: make(map[director.Token]int), requests: make(map[director.Token]int),
-		coldUntil: make(map[director.Token]time.Time), silent: make(map[director.Token]silence),
+		cold: make(map[director.Token]*turns), silent: make(map[director.Token]silence),
 	}
 }
 
@@ -76,15 +77,13 @@
 	known := make(map[director.Token]bool)
 	for _, server := range directory.Servers() {
 		known[server.Token] = true
-		if _, ok := s.coldUntil[server.Token]; !ok {
-			s.coldUntil[server.Token] = now.Add(server.ColdFor)
-		}
+		s.updateTurns(directory, server, now)
 		if directory.IsTakenOut(server.DataCentre) {
 			continue
 		}
 		c := candidate{
 			token: server.Token, slots: max(server.Slots, 1), isLocal: server.DataCentre == s.dataCentre,
-			coldUntil: s.coldUntil[server.Token],
+			cold: s.cold[server.Token],
 		}
 		switch server.State {
 		case director.StateReady:
@@ -99,9 +98,13 @@
 			s.byService[service] = candidates
 		}
 	}
-	for token := range s.coldUntil {
+	for token := range s.cold {
+		if !known[token] {
+			delete(s.cold, token)
+		}
+	}
+	for token := range s.flows {
 		if !known[token] {
-			delete(s.coldUntil, token)
 			delete(s.flows, token)
 			delete(s.requests, token)
 			delete(s.silent, token)
@@ -114,7 +117,7 @@
 func (s *selector) pick(service string, tried director.Token, now time.Time) director.Token {
 	best, bestLoad, ties := director.Token(0), 0.0, 0
 	for _, c := range s.byService[service] {
-		if c.token == tried {
+		if c.token == tried || !c.cold.mayTake(now) {
 			continue
 		}
 		load := s.load(c, now)
@@ -131,17 +134,20 @@
 	}
 	if best == 0 {
 		for _, c := range s.byService[service] {
-			if c.token == tried {
-				return tried
+			if c.token == tried && c.cold.mayTake(now) {
+				best = tried
 			}
 		}
 	}
+	if cold := s.cold[best]; cold != nil {
+		cold.take(now)
+	}
 	return best
 }
 
 func (s *selector) load(c candidate, now time.Time) float64 {
 	load := (float64(s.flows[c.token]) + requestWeight*float64(s.requests[c.token])) / float64(c.slots)
-	if now.Before(c.coldUntil) {
+	if c.cold.isCold(now) {
 		load = (load + 1) * coldPenalty
 	}
 	if !c.isLocal {
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -18,8 +18,8 @@
 
 // Settings are the constants of a Steerer.
 type Settings struct {
-	// DataCentre is that of the entry.
-	DataCentre string
+	// Name and DataCentre are those of the entry.
+	Name, DataCentre string
 	// MaxFlows bounds the flows that are followed for load estimates. Others are
 	// routed all the same.
 	MaxFlows int
@@ -44,7 +44,7 @@
 func New(settings Settings, rng *rand.Rand) *Steerer {
 	return &Steerer{
 		settings: settings, rng: rng, directory: director.NewDirectory(),
-		selector: newSelector(settings.DataCentre, rng), flows: make(map[flowKey]*flow),
+		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow),
 	}
 }
 
--- /dev/null
+++ b/entry/services/steerer/turns_test.go
@@ -0,0 +1,64 @@
+package steerer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/entry/services/steerer"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+// Load: many callers open flows at all entries while the only backend server is
+// cold. All entries together must stay below its rate in every second, although
+// they hear of it at different times and one is not enlisted.
+func TestColdServerBearsItsRate(t *testing.T) {
+	t.Parallel()
+	const entries, rate, slack = 8, 20.0, 5.0
+	cold := server(1, "orders", "a")
+	cold.ColdFor = 10 * time.Second
+	changes := []director.Change{
+		routeTo(route, "orders"), director.VersionChanged{Version: 1}, director.ServiceChanged{Name: "orders", ColdRate: rate}, director.ServerChanged{Server: cold},
+	}
+	for i := range entries - 1 {
+		changes = append(changes, director.EntryEnlisted{Name: fmt.Sprint("entry-", i)})
+	}
+	var all []*steerer.Steerer
+	for i := range entries {
+		s := steerer.New(steerer.Settings{Name: fmt.Sprint("entry-", i), DataCentre: "a", MaxFlows: 10_000}, rand.New(rand.NewPCG(1, uint64(i))))
+		s.Update(1, changes, true, start.Add(time.Duration(i*13)*time.Millisecond))
+		all = append(all, s)
+	}
+	var opened []time.Time
+	port := 0
+	for now := start.Add(time.Second); now.Before(start.Add(9 * time.Second)); now = now.Add(2 * time.Millisecond) {
+		port++
+		v := all[port%entries].Decide(opening(from(port), 0), now)
+		if v.Action == steerer.ActionForward {
+			require.NotEqual(t, entries-1, port%entries, "an entry that is not enlisted opened a flow")
+			opened = append(opened, now)
+		} else {
+			require.Equal(t, steerer.ActionReset, v.Action, "callers are told at once")
+		}
+	}
+	for i, first := range opened {
+		count := 0
+		for _, at := range opened[i:] {
+			if at.Sub(first) < time.Second {
+				count++
+			}
+		}
+		require.LessOrEqual(t, float64(count), rate+slack)
+	}
+	require.Greater(t, float64(len(opened)), 0.7*rate*8, "the rate is used")
+
+	warm := cold
+	warm.ColdFor = 0
+	all[0].Update(2, []director.Change{director.ServerChanged{Server: warm}}, false, start.Add(10*time.Second))
+	for i := range 100 {
+		requireForwarded(t, all[0].Decide(opening(from(20_000+i), 0), start.Add(10*time.Second)), 1)
+	}
+}
--- a/shared/models/director/change.go
+++ b/shared/models/director/change.go
@@ -52,6 +52,21 @@
 	IdleTimeout time.Duration
 }
 
+// ServiceChanged sets what a service's backend servers bear during a cold start.
+type ServiceChanged struct {
+	sealed
+	Name string
+	// ColdRate is the number of new flows a second that a cold backend server bears,
+	// from all entries together; 0 sets no limit.
+	ColdRate float64
+}
+
+// EntryEnlisted adds an entry to those that share the rate of cold backend servers.
+type EntryEnlisted struct {
+	sealed
+	Name string
+}
+
 // Body carries one change between processes. Exactly one field is set.
 type Body struct {
 	Server     *Server         `cbor:"1,keyasint,omitempty"`
@@ -60,6 +75,14 @@
 	Removed    *netip.AddrPort `cbor:"4,keyasint,omitempty"`
 	DataCentre *dataCentreBody `cbor:"5,keyasint,omitempty"`
 	Version    *versionBody    `cbor:"6,keyasint,omitempty"`
+	Service    *serviceBody    `cbor:"7,keyasint,omitempty"`
+	Entry      *string         `cbor:"8,keyasint,omitempty"`
+}
+
+type serviceBody struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	ColdRate float64
 }
 
 type dataCentreBody struct {
@@ -89,6 +112,10 @@
 		return Body{DataCentre: &dataCentreBody{Name: c.Name, TakenOut: c.TakenOut}}
 	case VersionChanged:
 		return Body{Version: &versionBody{Version: c.Version, IdleTimeout: c.IdleTimeout}}
+	case ServiceChanged:
+		return Body{Service: &serviceBody{Name: c.Name, ColdRate: c.ColdRate}}
+	case EntryEnlisted:
+		return Body{Entry: &c.Name}
 	default:
 		return Body{}
 	}
@@ -109,6 +136,10 @@
 		return DataCentreChanged{Name: b.DataCentre.Name, TakenOut: b.DataCentre.TakenOut}
 	case b.Version != nil:
 		return VersionChanged{Version: b.Version.Version, IdleTimeout: b.Version.IdleTimeout}
+	case b.Service != nil:
+		return ServiceChanged{Name: b.Service.Name, ColdRate: b.Service.ColdRate}
+	case b.Entry != nil:
+		return EntryEnlisted{Name: *b.Entry}
 	default:
 		return nil
 	}
--- a/shared/models/director/directory.go
+++ b/shared/models/director/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,11 +16,16 @@
 	servers     map[Token]Server
 	routes      map[netip.AddrPort]Route
 	takenOut    map[string]bool
+	coldRates   map[string]float64
+	entries     map[string]bool
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: make(map[Token]Server), routes: make(map[netip.AddrPort]Route), takenOut: make(map[string]bool)}
+	return &Directory{
+		servers: make(map[Token]Server), routes: make(map[netip.AddrPort]Route), takenOut: make(map[string]bool),
+		coldRates: make(map[string]float64), entries: make(map[string]bool),
+	}
 }
 
 // Apply carries out a change.
@@ -39,6 +45,14 @@
 		} else {
 			delete(d.takenOut, c.Name)
 		}
+	case ServiceChanged:
+		if c.ColdRate > 0 {
+			d.coldRates[c.Name] = c.ColdRate
+		} else {
+			delete(d.coldRates, c.Name)
+		}
+	case EntryEnlisted:
+		d.entries[c.Name] = true
 	case VersionChanged:
 		d.Version, d.IdleTimeout = c.Version, c.IdleTimeout
 	}
@@ -57,6 +71,12 @@
 	for _, name := range d.TakenOut() {
 		changes = append(changes, DataCentreChanged{Name: name, TakenOut: true})
 	}
+	for _, name := range slices.Sorted(maps.Keys(d.coldRates)) {
+		changes = append(changes, ServiceChanged{Name: name, ColdRate: d.coldRates[name]})
+	}
+	for _, name := range d.Entries() {
+		changes = append(changes, EntryEnlisted{Name: name})
+	}
 	return append(changes, VersionChanged{Version: d.Version, IdleTimeout: d.IdleTimeout})
 }
 
@@ -95,12 +115,15 @@
 // IsTakenOut reports whether a data centre is taken out.
 func (d *Directory) IsTakenOut(dataCentre string) bool { return d.takenOut[dataCentre] }
 
+// ColdRate returns the number of new flows a second that a cold backend server of
+// the service bears; 0 is no limit.
+func (d *Directory) ColdRate(service string) float64 { return d.coldRates[service] }
+
+// Entries returns the names of the entries that were enlisted, sorted.
+func (d *Directory) Entries() []string { return slices.Sorted(maps.Keys(d.entries)) }
+
+// IsEnlisted reports whether an entry was enlisted.
+func (d *Directory) IsEnlisted(name string) bool { return d.entries[name] }
+
 // TakenOut returns the data centres that are taken out, sorted by name.
-func (d *Directory) TakenOut() []string {
-	names := make([]string, 0, len(d.takenOut))
-	for name := range d.takenOut {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (d *Directory) TakenOut() []string { return slices.Sorted(maps.Keys(d.takenOut)) }
--- a/shared/models/director/server.go
+++ b/shared/models/director/server.go
@@ -70,14 +70,11 @@
 // IsLive reports whether the backend server renews its lease.
 func (s Server) IsLive() bool { return s.State == StateReady || s.State == StateDraining }
 
+// IsCold reports whether the backend server announced a cold start.
+func (s Server) IsCold() bool { return s.ColdFor > 0 }
+
 // WithState returns a copy in another state.
 func (s Server) WithState(state State) Server {
 	s.State = state
 	return s
 }
-
-// WithColdFor returns a copy with another rest of the cold start.
-func (s Server) WithColdFor(rest time.Duration) Server {
-	s.ColdFor = rest
-	return s
-}
--- a/shared/models/director/watch.go
+++ b/shared/models/director/watch.go
@@ -9,6 +9,8 @@
 const (
 	ServiceName = "redwingledge.control.Directory"
 	WatchMethod = "/" + ServiceName + "/Watch"
+	// EnlistMethod is called by replicas that do not lead.
+	EnlistMethod = "/" + ServiceName + "/Enlist"
 )
 
 // WatchRequest asks for the changes after an index.
@@ -18,8 +20,20 @@
 	Index uint64
 	// Wait is how long control may hold the call while nothing changes.
 	Wait time.Duration
-	// DataCentre is that of the entry.
+	// DataCentre is that of the entry, and Entry its name.
 	DataCentre string
+	Entry      string
+}
+
+// EnlistRequest names an entry that shares the rate of cold backend servers.
+type EnlistRequest struct {
+	_     struct{} `cbor:",toarray"`
+	Entry string
+}
+
+// EnlistResponse answers an EnlistRequest.
+type EnlistResponse struct {
+	_ struct{} `cbor:",toarray"`
 }
 
 // WatchResponse carries the changes up to an index.
