--- a/control/services/supervisor/supervisor.go
+++ b/control/services/supervisor/supervisor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"sync"
@@ -30,9 +31,11 @@
 type Options struct {
 	Replication func() replicator.Settings
 	Storage     storer.Settings
-	Timer       timer.Service
-	Counters    *reporter.Counters
-	Logger      *slog.Logger
+	// TLS is nil to connect without TLS.
+	TLS      *tls.Config
+	Timer    timer.Service
+	Counters *reporter.Counters
+	Logger   *slog.Logger
 }
 
 // Supervisor is a replica that is opened again after a failure of its disk. It
@@ -106,7 +109,7 @@
 	machine := director.NewMachine()
 	replica, err := driver.New(driver.Options{
 		Settings: s.options.Replication(), Store: store, State: state, Applier: machine,
-		Timer: s.options.Timer, Counters: s.options.Counters, Logger: s.options.Logger,
+		Timer: s.options.Timer, TLS: s.options.TLS, Counters: s.options.Counters, Logger: s.options.Logger,
 	})
 	if err != nil {
 		return errors.Join(err, store.Close())
