Drop exceptions that only some entries have when a round settles

A round ended early after its digests had told some entries of a flow on host-3. The next round's table led to host-3, so the flow was listed no more, yet settling marked the exception as common knowledge everywhere. When a later table moved the bucket, no digest named the flow, and the one entry without the exception sent its FIN to the new target. Ruled out: the entry that had been starting (it got the exception in its transfer), the cache (three entries had the flow). Change: settling drops exceptions that are not common, not of this round, and on the table's target.

--- a/entry/services/placer/failure_test.go
+++ b/entry/services/placer/failure_test.go
@@ -9,8 +9,9 @@
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 )
 
-// seeds returns the seeds 1 to n, or those that PLACER_SEED names as N or N-M.
-func seeds(t *testing.T, n uint64) []uint64 {
+// seeds returns the seeds 1 to n and those that failed before, or the seeds that
+// PLACER_SEED names as N or N-M.
+func seeds(t *testing.T, n uint64, failed ...uint64) []uint64 {
 	first, last := uint64(1), n
 	if text := os.Getenv("PLACER_SEED"); text != "" {
 		if _, err := fmt.Sscanf(text, "%d-%d", &first, &last); err != nil {
@@ -19,12 +20,13 @@
 			}
 			last = first
 		}
+		failed = nil
 	}
 	var list []uint64
 	for seed := first; seed <= last; seed++ {
 		list = append(list, seed)
 	}
-	return list
+	return append(list, failed...)
 }
 
 func report(t *testing.T, n *network, seed uint64) {
@@ -89,11 +91,15 @@
 	},
 }
 
+// failedPlanned are seeds that broke a flow. 45: an exception that an early ended round
+// had told to some entries only was taken for common knowledge.
+var failedPlanned = []uint64{45}
+
 // Guards against entries that disagree about a flow while the view changes, and
 // against packets at a wrong service.
 func TestPlannedChangesBreakNoFlow(t *testing.T) {
 	for name, change := range planned {
-		for _, seed := range seeds(t, 3) {
+		for _, seed := range seeds(t, 3, failedPlanned...) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				n := newNetwork(seed, 8)
--- a/entry/services/placer/round.go
+++ b/entry/services/placer/round.go
@@ -200,11 +200,23 @@
 	for i := range svc.buckets {
 		svc.buckets[i].formers = [maxFormers]uint32{}
 	}
+	m.settleExceptions(svc)
+	svc.ownerChanges = 0
+}
+
+// settleExceptions makes the exceptions of the round common knowledge. It drops those
+// that only an earlier round named, which ended early: some entries may lack them, and
+// this round did not name them again because the table leads to their target. Their
+// flows are listed anew when a table moves them.
+func (m *Machine) settleExceptions(svc *service) {
 	for key, e := range svc.exceptions {
+		if !e.isCommon && e.round != svc.round.number && e.target == svc.active[tabler.Bucket(key)] {
+			delete(svc.exceptions, key)
+			continue
+		}
 		e.isCommon = true
 		svc.exceptions[key] = e
 	}
-	svc.ownerChanges = 0
 }
 
 // eachDeviating calls f for the flows of unsettled buckets, in the cache, that are
