Answer entries only once a replica has caught up, and enlist aside

Each poll first forwarded an enlistment and waited up to 200 ms for it, a search ended only after 500 ms when one VM hung, and replicas answered as soon as they heard a leader, with whatever part of the log they had applied (index 46 of 121), so entries got routes and backend servers of the past. Ruled out: the election (0.05 s after the second voter), the links. Change: a replica is current when it has applied what the leader had committed when contact began (the commit is of the leader's own term); polls are refused until then. Enlistments wait in a ring of their own duty.

--- a/control/routers/broadcaster/broadcaster.go
+++ b/control/routers/broadcaster/broadcaster.go
@@ -11,6 +11,7 @@
 
 	service "github.com/redwingledge/redwingledge/control/services/director"
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -19,19 +20,40 @@
 // the majority.
 const maxWait = 2 * time.Second
 
-// enlistTimeout bounds the call to the leader, which delays the answer to a poll.
-const enlistTimeout = 200 * time.Millisecond
+const (
+	// enlistTimeout bounds the call to the leader: a commit between data centres takes
+	// tens of milliseconds.
+	enlistTimeout = time.Second
+	// enlistCapacity bounds the entries that wait to be enlisted. One that finds no
+	// room is enlisted at a later poll.
+	enlistCapacity = 128
+)
 
-// Broadcaster answers the long polls of entries.
+// Broadcaster answers the long polls of entries. Run must be called once.
 type Broadcaster struct {
 	service  *service.Service
 	counters *reporter.Counters
 	pool     *transporter.Pool
+	// newcomers are entries that polled and are not enlisted.
+	newcomers *buffer.Ring[string]
 }
 
 // New returns a Broadcaster. It reaches the leader through the pool.
 func New(s *service.Service, pool *transporter.Pool, counters *reporter.Counters) *Broadcaster {
-	return &Broadcaster{service: s, pool: pool, counters: counters}
+	return &Broadcaster{service: s, pool: pool, counters: counters, newcomers: buffer.NewRing[string](enlistCapacity)}
+}
+
+// Run lets the leader enlist new entries until ctx ends. Polls do not wait for it.
+func (b *Broadcaster) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, b.newcomers.Close)
+	defer stop()
+	for {
+		entry, ok := b.newcomers.Pop()
+		if !ok {
+			return
+		}
+		b.forwardEnlistment(ctx, entry)
+	}
 }
 
 // Service returns the gRPC service for entries.
@@ -54,7 +76,7 @@
 // counted; the next poll of the entry repeats it.
 func (b *Broadcaster) forwardEnlistment(ctx context.Context, entry string) {
 	leader, ok := b.service.Leader()
-	if !ok || entry == "" || b.service.Machine().IsEnlisted(entry) {
+	if !ok || b.service.Machine().IsEnlisted(entry) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, enlistTimeout)
@@ -64,17 +86,28 @@
 	}
 }
 
+// welcome queues an entry that is not enlisted, unless this replica may only not know
+// of it yet.
+func (b *Broadcaster) welcome(entry string) {
+	if entry == "" || !b.service.IsCurrent() || b.service.Machine().IsEnlisted(entry) {
+		return
+	}
+	if !b.newcomers.TryPush(entry) {
+		b.counters.Int("enlistments_postponed").Add(1)
+	}
+}
+
 // watch returns the changes after the entry's index as soon as there are any. It
-// fails while this replica hears no leader with a majority, so that entries turn
-// to another replica.
+// fails while this replica hears no leader with a majority or has not caught up, so
+// that entries turn to another replica.
 func (b *Broadcaster) watch(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
-	b.forwardEnlistment(ctx, req.Entry)
+	b.welcome(req.Entry)
 	deadline, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWait))
 	defer cancel()
 	for {
 		if !b.service.IsCurrent() {
 			b.counters.Int("watches_refused_not_current").Add(1)
-			return nil, status.Error(codes.Unavailable, "this replica hears no leader with a majority")
+			return nil, status.Error(codes.FailedPrecondition, "this replica hears no leader with a majority, or has not caught up with it")
 		}
 		machine := b.service.Machine()
 		changed := machine.Changed()
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -88,6 +88,9 @@
 	if err := s.checkLeading(); err != nil {
 		return err
 	}
+	if err := s.awaitCurrent(ctx); err != nil {
+		return err
+	}
 	machine := s.machine()
 	if declared := machine.Declared(); !declared.HasService(a.Server.Service) {
 		return ErrServiceNotExist{Service: a.Server.Service, Version: declared.Version}
@@ -118,6 +121,12 @@
 
 // Enlist adds an entry to those that share the rate of cold backend servers.
 func (s *Service) Enlist(ctx context.Context, entry string) error {
+	if err := s.checkLeading(); err != nil {
+		return err
+	}
+	if err := s.awaitCurrent(ctx); err != nil {
+		return err
+	}
 	if s.machine().IsEnlisted(entry) {
 		return nil
 	}
@@ -132,8 +141,21 @@
 	return status.LeaderAddress, status.LeaderAddress.IsValid()
 }
 
-// IsCurrent reports whether this replica hears a leader that has a majority.
-func (s *Service) IsCurrent() bool { return s.replica.Status().HasQuorum }
+// IsCurrent reports whether this replica hears a leader that has a majority, and has
+// applied what was accepted before it heard it again.
+func (s *Service) IsCurrent() bool { return s.replica.Status().IsCurrent() }
+
+// awaitCurrent waits until a leader that has just begun has applied its log, so that
+// its state is not taken for that of the time before.
+func (s *Service) awaitCurrent(ctx context.Context) error {
+	if s.IsCurrent() {
+		return nil
+	}
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return fmt.Errorf("apply the log: %w", err)
+	}
+	return nil
+}
 
 // Machine returns the replicated state.
 func (s *Service) Machine() *Machine { return s.machine() }
--- a/control/services/replicator/following.go
+++ b/control/services/replicator/following.go
@@ -13,11 +13,27 @@
 	if term > m.term || m.role != RoleFollower || m.leader != from {
 		m.becomeFollower(term, from)
 	}
+	if !m.hasLeader() {
+		// The leader may have committed more during the silence.
+		m.caughtUp = 0
+	}
 	m.leaderSeen = m.now
 	m.resetElection()
 	return true
 }
 
+// noteCaughtUp notes that this replica has committed all that the leader had, given
+// the leader's commit. Entries of the leader's own term follow all older ones that
+// were ever committed.
+func (m *Machine) noteCaughtUp(leaderCommit uint64) {
+	if m.caughtUp != 0 || m.commit < leaderCommit {
+		return
+	}
+	if term, ok := m.log.term(m.commit); ok && term == m.term {
+		m.caughtUp = m.commit
+	}
+}
+
 // isValid reports whether the entries follow PrevIndex and can be read.
 func (req *AppendRequest) isValid() bool {
 	for i, e := range req.Entries {
@@ -39,6 +55,7 @@
 	resp := &AppendResponse{Echo: m.echo(req.Round, req.SentAt)}
 	if m.followLeader(from, req.Term) {
 		resp.Success, resp.Match = m.acceptEntries(req)
+		m.noteCaughtUp(req.Commit)
 		if !resp.Success {
 			resp.Hint = resp.Match
 			resp.Match = 0
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -51,7 +51,7 @@
 }
 
 func (m *Machine) startLeading() {
-	m.role, m.leader, m.leaderSeen = RoleLeader, m.id, m.now
+	m.role, m.leader, m.leaderSeen, m.caughtUp = RoleLeader, m.id, m.now, 0
 	m.counts.TermsLed++
 	m.leading = &leading{
 		start:    m.log.last() + 1,
@@ -311,6 +311,7 @@
 	}
 	previous := m.commit
 	m.setCommit(index)
+	m.noteCaughtUp(index)
 	for i := previous + 1; i <= index; i++ {
 		delete(m.leading.pending, i)
 	}
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -127,6 +127,9 @@
 	role       Role
 	leader     storer.Identity
 	leaderSeen time.Time
+	// caughtUp is the index that this replica must have applied to be as new as the
+	// leader was when contact with it began; 0 while that is not known.
+	caughtUp   uint64
 	electionAt time.Time
 	voteUntil  time.Time
 	votes      map[storer.Identity]bool
@@ -366,7 +369,7 @@
 	if m.role != RoleFollower {
 		m.resetElection()
 	}
-	m.role, m.leader = RoleFollower, leader
+	m.role, m.leader, m.caughtUp = RoleFollower, leader, 0
 	if term > m.term {
 		m.setTerm(term, storer.Identity{})
 	}
--- a/control/services/replicator/proposer.go
+++ b/control/services/replicator/proposer.go
@@ -66,7 +66,10 @@
 	// Verified reports that the replica may vote and be counted.
 	Verified bool
 	// HasQuorum reports that a leader with a majority is known.
-	HasQuorum     bool
+	HasQuorum bool
+	// CaughtUp is the index that must be applied so that nothing is missing that
+	// was committed before the leader was heard again; 0 if that is not known.
+	CaughtUp      uint64
 	Commit        uint64
 	Applied       uint64
 	LastIndex     uint64
@@ -76,11 +79,17 @@
 	Failed error
 }
 
+// IsCurrent reports that a leader with a majority is known, and that all is applied
+// that was committed before it was heard again.
+func (s Status) IsCurrent() bool {
+	return s.HasQuorum && s.CaughtUp > 0 && s.Applied >= s.CaughtUp
+}
+
 // Status describes the replica, without Applied and Failed.
 func (m *Machine) Status() Status {
 	s := Status{
 		Name: m.settings.Name, ID: m.id, Role: m.role, Term: m.term, Verified: m.verification.done,
-		Commit: m.commit, LastIndex: m.log.last(), Membership: m.membership(),
+		CaughtUp: m.caughtUp, Commit: m.commit, LastIndex: m.log.last(), Membership: m.membership(),
 	}
 	if m.snapshot != nil {
 		s.SnapshotIndex = m.snapshot.Index
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -24,22 +25,26 @@
 	pollWait = 700 * time.Millisecond
 	// callGrace is added to pollWait for the way there and back.
 	callGrace = 600 * time.Millisecond
-	// retryWait is the pause after a failed search; it doubles up to maxRetryWait.
-	retryWait    = 50 * time.Millisecond
-	maxRetryWait = 200 * time.Millisecond
 	// updateLines is the number of lines a second about changes of the view.
 	updateLines = 5
-	// searchStagger is the time between the calls of a search. It covers a call
-	// between data centres several times.
-	searchStagger = 60 * time.Millisecond
-	// searchLimit bounds a search. After it all connections are made anew, as an
-	// attempt to connect is repeated only after a second.
-	searchLimit = 500 * time.Millisecond
+	// maxAsked bounds the calls of a search that wait for answers; there are at most 7
+	// replicas, and a few that were replaced.
+	maxAsked = 16
+	// searchStagger is the time between the calls of a search: a call between data
+	// centres takes less, and an entry asks 25 times a second at most.
+	searchStagger = 40 * time.Millisecond
+	// searchLimit bounds one call of a search. It leaves time for the whole view over
+	// a link of 2.4 Mbit/s.
+	searchLimit = pollWait + callGrace
 )
 
+// ErrNotCurrent reports a replica that answers but may not know the newest state.
+var ErrNotCurrent = errors.New("the replica is not current")
+
 // Caller polls one replica.
 type Caller interface {
-	// Watch returns the changes after the request's index.
+	// Watch returns the changes after the request's index, or ErrNotCurrent from a
+	// replica that cannot be sure of them.
 	Watch(ctx context.Context, replica netip.AddrPort, req *director.WatchRequest) (*director.WatchResponse, error)
 	// Forget closes the connection to a replica that does not answer.
 	Forget(replica netip.AddrPort)
@@ -69,9 +74,7 @@
 	// current is the replica that is followed, if any, and last the one before.
 	current, last netip.AddrPort
 	index         uint64
-	// failures counts the searches since a replica was followed.
-	failures int
-	rng      *rand.Rand
+	rng           *rand.Rand
 	// updates limits the lines about changes of the view.
 	updates *log.Gate
 }
@@ -93,23 +96,12 @@
 	for ctx.Err() == nil {
 		if f.current.IsValid() {
 			f.poll(ctx)
-		} else if !f.search(ctx) {
-			f.pause(ctx)
+		} else {
+			f.search(ctx)
 		}
 	}
 }
 
-// pause waits before another search.
-func (f *Follower) pause(ctx context.Context) {
-	f.failures++
-	wait := f.clock.Subscribe("retry of a search", min(retryWait<<min(f.failures, 4), maxRetryWait))
-	defer wait.Cancel()
-	select {
-	case <-ctx.Done():
-	case <-wait.C:
-	}
-}
-
 // poll makes one long poll to the current replica.
 func (f *Follower) poll(ctx context.Context) {
 	replica := f.current
@@ -124,7 +116,7 @@
 		return
 	}
 	f.logger.Warn("control replica lost", "replica", replica, "index", f.index, "error", err)
-	f.caller.Forget(replica)
+	f.forgetUnlessRefused(replica, err)
 	f.last, f.current = replica, netip.AddrPort{}
 }
 
@@ -139,53 +131,96 @@
 	err     error
 }
 
-// search asks the replicas one after the other without waiting for the answers of
-// the earlier ones, as calls to VMs without power hang. The first that answers and
-// does not lag behind this entry becomes the current one.
-func (f *Follower) search(ctx context.Context) bool {
-	replicas := f.candidates()
-	ctx, cancel := context.WithTimeout(ctx, searchLimit)
+// search asks the replicas in turn, one each searchStagger, without waiting for the
+// answers of the earlier ones, as calls to VMs without power hang. It ends with the
+// first that answers and does not lag behind this entry, which becomes the current one.
+func (f *Follower) search(ctx context.Context) {
+	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan found, len(replicas))
-	req := f.request(0)
+	// asked holds the replicas that have not answered; there is room for an answer of
+	// each, so that no call outlives the search for long.
+	asked := make(map[netip.AddrPort]bool)
+	answers := make(chan found, maxAsked)
 	stagger := f.clock.Subscribe("next replica of a search", searchStagger)
 	defer stagger.Cancel()
-	for asked, open := 0, 0; open > 0 || asked < len(replicas); {
-		if asked < len(replicas) {
-			replica := replicas[asked]
-			asked, open = asked+1, open+1
-			go func() {
-				resp, err := f.caller.Watch(ctx, replica, req)
-				answers <- found{replica: replica, resp: resp, err: err}
-			}()
+	var turn []netip.AddrPort
+	for count := 0; ; {
+		if len(turn) == 0 {
+			turn = f.candidates()
+		}
+		if replica, rest, ok := nextIdle(turn, asked); ok && len(asked) < maxAsked {
+			turn, count = rest, count+1
+			asked[replica] = true
+			go f.ask(calls, replica, f.request(0), answers)
+		} else {
+			turn = nil
+		}
+		if resp := f.awaitTurn(ctx, stagger.C, asked, answers); resp != nil {
+			f.logger.Info("control replica followed", log.FieldReplica, resp.replica, log.FieldIndex, resp.resp.Index, "calls", count)
+			f.current = resp.replica
+			f.forgetOthers()
+			f.take(resp.resp)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// nextIdle returns the first replica that is not asked, and those after it.
+func nextIdle(turn []netip.AddrPort, asked map[netip.AddrPort]bool) (netip.AddrPort, []netip.AddrPort, bool) {
+	for i, replica := range turn {
+		if !asked[replica] {
+			return replica, turn[i+1:], true
 		}
+	}
+	return netip.AddrPort{}, nil, false
+}
+
+// ask makes one call of a search.
+func (f *Follower) ask(ctx context.Context, replica netip.AddrPort, req *director.WatchRequest, answers chan<- found) {
+	ctx, cancel := context.WithTimeout(ctx, searchLimit)
+	defer cancel()
+	resp, err := f.caller.Watch(ctx, replica, req)
+	answers <- found{replica: replica, resp: resp, err: err}
+}
+
+// awaitTurn handles answers until the next replica may be asked. It returns the answer
+// of a replica to follow, if one came.
+func (f *Follower) awaitTurn(ctx context.Context, turn <-chan time.Time, asked map[netip.AddrPort]bool, answers <-chan found) *found {
+	for {
 		select {
 		case <-ctx.Done():
-			f.forget(replicas)
-			return false
-		case <-stagger.C:
+			return nil
+		case <-turn:
+			return nil
 		case a := <-answers:
-			open--
-			if a.err != nil {
-				f.caller.Forget(a.replica)
-				f.logger.Debug("control replica did not answer", "replica", a.replica, "error", a.err)
-				continue
-			}
-			if a.resp.Index >= f.index {
-				f.logger.Info("control replica followed", "replica", a.replica, "index", a.resp.Index, "searches", f.failures+1)
-				f.current, f.failures = a.replica, 0
-				f.take(a.resp)
-				return true
+			delete(asked, a.replica)
+			switch {
+			case a.err != nil:
+				f.forgetUnlessRefused(a.replica, a.err)
+				f.logger.Debug("control replica did not answer", log.FieldReplica, a.replica, "error", a.err)
+			case a.resp.Index >= f.index:
+				return &a
 			}
 		}
 	}
-	return false
 }
 
-// forget closes the connections to replicas that have not answered, as they may
-// be silent for good.
-func (f *Follower) forget(replicas []netip.AddrPort) {
-	for _, replica := range replicas {
+// forgetOthers closes the connections to the replicas that are not followed.
+func (f *Follower) forgetOthers() {
+	for _, replica := range f.candidates() {
+		if replica != f.current {
+			f.caller.Forget(replica)
+		}
+	}
+}
+
+// forgetUnlessRefused closes the connection to a replica that has not answered, as it
+// may be silent for good.
+func (f *Follower) forgetUnlessRefused(replica netip.AddrPort, err error) {
+	if !errors.Is(err, ErrNotCurrent) {
 		f.caller.Forget(replica)
 	}
 }
--- a/entry/services/follower/follower_test.go
+++ b/entry/services/follower/follower_test.go
@@ -154,3 +154,16 @@
 		require.GreaterOrEqual(t, v.indexes[i], v.indexes[i-1])
 	}
 }
+
+// Guards against an entry that waits for the end of a search that cannot succeed: all
+// replicas start again, one refuses until there is a leader, and one hangs. The view must
+// come within a few turns of the others from when one is current.
+func TestSearchFollowsSoonAfterALeaderIsThere(t *testing.T) {
+	t.Parallel()
+	r := &replicas{answer: map[netip.AddrPort]func(context.Context, *director.WatchRequest) (*director.WatchResponse, error){replicaA: hang, replicaB: refuse}}
+	v := start(t, r)
+	time.Sleep(150 * time.Millisecond)
+	require.Zero(t, v.last())
+	r.set(replicaB, at(7))
+	requireFollowed(t, v, 7, 200*time.Millisecond)
+}
--- a/shared/modules/transporter/client.go
+++ b/shared/modules/transporter/client.go
@@ -19,17 +19,32 @@
 	MinConnectTimeout: 2 * time.Second,
 }
 
+// PoolOption changes a setting of a Pool.
+type PoolOption func(*Pool)
+
+// ConnectWithin bounds an attempt to connect. The default of 2 s suits slow links; a
+// caller that has other peers to turn to sets less, as the kernel repeats the first
+// packet to a VM that was down only after a second.
+func ConnectWithin(d time.Duration) PoolOption {
+	return func(p *Pool) { p.params.MinConnectTimeout = d }
+}
+
 // Pool keeps one connection for each peer address. It is safe for concurrent
 // use.
 type Pool struct {
 	config *tls.Config
+	params grpc.ConnectParams
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*grpc.ClientConn
 }
 
 // NewPool returns an empty pool. A nil config connects without TLS.
-func NewPool(config *tls.Config) *Pool {
-	return &Pool{config: config, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+func NewPool(config *tls.Config, options ...PoolOption) *Pool {
+	p := &Pool{config: config, params: connectParams, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Call invokes a unary method, such as "/redwingledge.entry.Peer/Deliver", at
@@ -74,7 +89,7 @@
 		return conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(),
-		grpc.WithTransportCredentials(serverCredentials(p.config)), grpc.WithNoProxy(), grpc.WithConnectParams(connectParams))
+		grpc.WithTransportCredentials(serverCredentials(p.config)), grpc.WithNoProxy(), grpc.WithConnectParams(p.params))
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
