--- a/control/services/driver/delivering.go
+++ b/control/services/driver/delivering.go
@@ -22,6 +22,11 @@
 // hangs, and must not take so long that the VM misses the next election.
 const sendTimeoutPart = 3
 
+// connectPart divides the election timeout for an attempt to connect, so that a VM that
+// has just started is reached soon although packets to it were lost before: the kernel
+// would repeat the first one only after a second.
+const connectPart = 6
+
 // Delivery is the request of Deliver.
 type Delivery struct {
 	_         struct{} `cbor:",toarray"`
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Driver{
 		ctx: ctx, cancel: cancel,
-		options: options, machine: machine, pool: transporter.NewPool(options.TLS),
+		options: options, machine: machine, pool: transporter.NewPool(options.TLS, transporter.ConnectWithin(options.Settings.ElectionTimeout/connectPart)),
 		period:  options.Settings.Heartbeat / ticksPerHeartbeat,
 		inputs:  buffer.NewRing[replicator.Input](inputCapacity),
 		work:    buffer.NewRing[any](applyCapacity),
--- a/control/services/replicator/current_test.go
+++ b/control/services/replicator/current_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,54 @@
 		}
 	})
 }
+
+// Guards against a restart that applies many large entries, and against a log that
+// keeps them: as configurations of 400 routes have 80 KB, 500 of them took 40 MB.
+func TestSnapshotsFollowSize(t *testing.T) {
+	t.Parallel()
+	const command = 80 << 10
+	w := newWorld(7, 3, mutation{})
+	w.settings.SnapshotEntries, w.settings.KeepEntries, w.settings.MaxAppendBytes = 2000, 500, 1<<20
+	for _, n := range w.nodes {
+		w.kill(n)
+		w.start(n)
+	}
+	require.True(t, w.settle(10*time.Second), w.describe())
+	for range 100 {
+		lead := w.leader()
+		data := `{"Key":"a","Value":"` + strings.Repeat("a", command) + `"}`
+		w.step(lead, Propose{Now: w.clock(lead), ID: 1 << 40, Command: []byte(data)})
+		w.run(2 * tickPeriod)
+	}
+	for _, n := range w.nodes {
+		size := sizeOf(n.disk.entries)
+		require.LessOrEqual(t, size, 2*(w.settings.SnapshotBytes+2*command), "entries kept on disk")
+		require.LessOrEqual(t, n.machine.unsaved, w.settings.SnapshotBytes+2*command, "entries to apply after a start")
+	}
+	require.Empty(t, w.problems)
+}
+
+// Guards against callers that wait for a leader after a common start: in the middle it
+// must be there within 0.2 s, of which the round trips of an election take 50 ms.
+func TestFirstElectionBeginsSoon(t *testing.T) {
+	t.Parallel()
+	soon := 0
+	const cases = 40
+	for seed := range uint64(cases) {
+		w := newOpenWorld(seed, 4)
+		require.True(t, w.settle(20*time.Second), w.describe())
+		w.settings.Bootstrap = false
+		for _, n := range w.nodes {
+			w.kill(n)
+		}
+		w.run(time.Second)
+		for _, n := range w.nodes {
+			w.start(n)
+		}
+		w.run(200 * time.Millisecond)
+		if lead := w.leader(); lead != nil && lead.machine.hasFreshQuorum() {
+			soon++
+		}
+	}
+	require.GreaterOrEqual(t, soon, cases/2)
+}
--- a/control/services/replicator/entry_log.go
+++ b/control/services/replicator/entry_log.go
@@ -63,6 +63,30 @@
 	return all[:len(all):len(all)]
 }
 
+// firstWithin returns the first index, not below before, from which the entries up to
+// last take no more than maxBytes; 0 bytes set no bound.
+func (l *entryLog) firstWithin(before, last uint64, maxBytes int) uint64 {
+	if maxBytes <= 0 {
+		return before
+	}
+	size := 0
+	for index := last; index > before; index-- {
+		if size += entryOverhead + len(l.entries[index-l.base()].Data); size > maxBytes {
+			return index
+		}
+	}
+	return before
+}
+
+// sizeOf returns about the encoded size of entries in bytes.
+func sizeOf(entries []storer.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += entryOverhead + len(e.Data)
+	}
+	return size
+}
+
 // add appends entries and drops those that are at the same or a later index.
 // Slices handed out before stay unchanged.
 func (l *entryLog) add(entries []storer.Entry) {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -54,8 +54,12 @@
 	TrustDisk bool
 	// SnapshotEntries is the number of entries after which a snapshot is taken.
 	SnapshotEntries int
+	// SnapshotBytes is the size of the entries after which a snapshot is taken, so that
+	// a restart does not apply many large ones. 0 means no bound.
+	SnapshotBytes int
 	// KeepEntries is the number of entries kept before a snapshot, so that
-	// slightly slow replicas do not need the snapshot.
+	// slightly slow replicas do not need the snapshot. They take no more than
+	// SnapshotBytes.
 	KeepEntries int
 	// MaxAppendBytes bounds the entries of one message.
 	MaxAppendBytes int
@@ -83,14 +87,20 @@
 		ElectionTimeout: time.Second,
 		TrustDiskAfter:  10 * time.Second,
 		SnapshotEntries: 2000,
+		SnapshotBytes:   512 << 10,
 		KeepEntries:     500,
 		MaxAppendBytes:  512 << 10,
 		MaxPending:      1024,
 	}
 }
 
-// hastePart divides the election timeout where an election may begin early.
-const hastePart = 3
+const (
+	// hastePart divides the election timeout where an election may begin early.
+	hastePart = 3
+	// firstHastePart does so for the first election after a start: 50 ms to 150 ms of
+	// 900 ms.
+	firstHastePart = 9
+)
 
 type membershipAt struct {
 	index      uint64
@@ -123,6 +133,8 @@
 	memberships []membershipAt
 	commit      uint64
 	snapshotDue bool
+	// unsaved is the size in bytes of the committed entries after the snapshot.
+	unsaved int
 
 	role       Role
 	leader     storer.Identity
@@ -172,7 +184,7 @@
 	m.resetElection()
 	m.startVerification(state.IsNew)
 	if m.verification.done {
-		m.hastenElection()
+		m.hastenFirstElection()
 	}
 	return m, nil
 }
@@ -347,14 +359,21 @@
 	entries := m.log.entries[m.commit+1-m.log.base() : index+1-m.log.base()]
 	m.emit(Apply{Entries: slices.Clone(entries)})
 	m.commit = index
+	m.unsaved += sizeOf(entries)
+	if !m.snapshotDue && m.isSnapshotWorthwhile() {
+		m.snapshotDue = true
+		m.emit(TakeSnapshot{Index: m.commit})
+	}
+}
+
+// isSnapshotWorthwhile reports whether a restart would have much to apply.
+func (m *Machine) isSnapshotWorthwhile() bool {
 	taken := uint64(0)
 	if m.snapshot != nil {
 		taken = m.snapshot.Index
 	}
-	if !m.snapshotDue && m.commit-taken >= uint64(m.settings.SnapshotEntries) {
-		m.snapshotDue = true
-		m.emit(TakeSnapshot{Index: m.commit})
-	}
+	return m.commit-taken >= uint64(m.settings.SnapshotEntries) ||
+		m.settings.SnapshotBytes > 0 && m.unsaved >= m.settings.SnapshotBytes
 }
 
 func (m *Machine) setTerm(term uint64, vote storer.Identity) {
@@ -389,6 +408,14 @@
 	m.electionAt = m.now.Add(part/2 + time.Duration(m.rng.Int64N(int64(part))))
 }
 
+// hastenFirstElection lets a replica that has just started ask for votes soon, as all
+// may have started and callers wait. A pre-vote does not disturb a live leader, and the
+// spread is several round trips between data centres.
+func (m *Machine) hastenFirstElection() {
+	part := m.settings.ElectionTimeout / firstHastePart
+	m.electionAt = m.now.Add(part/2 + time.Duration(m.rng.Int64N(int64(part))))
+}
+
 // clock returns the time since the start in nanoseconds.
 func (m *Machine) clock() int64 { return int64(m.now.Sub(m.started)) }
 
--- a/control/services/replicator/snapshotting.go
+++ b/control/services/replicator/snapshotting.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"math"
+
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
 
@@ -28,10 +30,12 @@
 	m.snapshot = &storer.Snapshot{
 		Index: in.Index, Term: term, MembershipIndex: at.index, Membership: at.membership, Data: in.Data,
 	}
+	m.unsaved = sizeOf(m.log.slice(in.Index+1, m.commit, math.MaxInt))
 	before := m.log.base()
 	if keep := uint64(m.settings.KeepEntries); in.Index > keep {
 		before = max(before, in.Index-keep)
 	}
+	before = m.log.firstWithin(before, in.Index, m.settings.SnapshotBytes)
 	m.log.compact(before)
 	for len(m.memberships) > 1 && m.memberships[1].index <= in.Index {
 		m.memberships = m.memberships[1:]
@@ -93,7 +97,7 @@
 
 func (m *Machine) install(snapshot *storer.Snapshot) {
 	m.incoming = incomingSnapshot{}
-	m.snapshot, m.snapshotDue = snapshot, false
+	m.snapshot, m.snapshotDue, m.unsaved = snapshot, false, 0
 	m.log.reset(snapshot.Index, snapshot.Term)
 	m.memberships = []membershipAt{{index: snapshot.MembershipIndex, membership: snapshot.Membership}}
 	m.commit = snapshot.Index
