Let entries probe replicas before they ask for the view

Cause: a search asked up to seven replicas for the whole view, 40 ms apart. An entry with 0.06 of a core connects to a replica in about that time, and on a link of 2.4 Mbit/s views that are not used delay the one that is. Change: a search asks whether a replica is current (a probe without changes); it waits 100 ms for one before it asks another, and 40 ms after a refusal. Tests: TestProbeCarriesNoView, TestPollNeedsCurrentReplica.

--- a/control/routers/broadcaster/broadcaster.go
+++ b/control/routers/broadcaster/broadcaster.go
@@ -110,6 +110,9 @@
 			return nil, status.Error(codes.FailedPrecondition, "this replica hears no leader with a majority, or has not caught up with it")
 		}
 		machine := b.service.Machine()
+		if req.Probe {
+			return b.answer(nil, machine.Index(), false), nil
+		}
 		changed := machine.Changed()
 		changes, reached, complete := machine.Since(req.Index)
 		if len(changes) > 0 || deadline.Err() != nil {
--- a/control/routers/broadcaster/broadcaster_test.go
+++ b/control/routers/broadcaster/broadcaster_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Guards against whole views that are sent to an entry that only searches: over a link
+// of 2.4 Mbit/s a few of them delay the one that it follows.
+func TestProbeCarriesNoView(t *testing.T) {
+	t.Parallel()
+	resp, err := newBroadcaster(t, current).watch(t.Context(), &director.WatchRequest{Entry: "entry-1", Probe: true})
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), resp.Index)
+	require.Empty(t, resp.Changes)
+}
+
 // Guards against a view of the past: a replica that has just started hears the leader
 // before it has applied its log.
 func TestPollNeedsCurrentReplica(t *testing.T) {
--- a/control/services/driver/applying.go
+++ b/control/services/driver/applying.go
@@ -18,12 +18,14 @@
 		switch o := item.(type) {
 		case replicator.Apply:
 			d.apply(o.Entries)
+			d.noteCurrent()
 		case replicator.Restore:
 			if err := d.options.Applier.Restore(o.Snapshot.Data); err != nil {
 				d.fail(fmt.Errorf("restore the snapshot at %d: %w", o.Snapshot.Index, err))
 				return
 			}
 			d.setApplied(o.Snapshot.Index)
+			d.noteCurrent()
 		case replicator.TakeSnapshot:
 			d.takeSnapshot(o.Index)
 		case replicator.ReadReady:
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -75,10 +75,12 @@
 	status  replicator.Status
 	counts  replicator.Counts
 	applied uint64
-	failed  error
-	stopped bool
-	waiting waiters
-	taken   *replicator.SnapshotTaken
+	// wasCurrent is what was last logged.
+	wasCurrent bool
+	failed     error
+	stopped    bool
+	waiting    waiters
+	taken      *replicator.SnapshotTaken
 	// admitted are names of replicas beside those of the settings.
 	admitted []string
 
@@ -316,6 +318,20 @@
 	if before.Membership.Voters() != status.Membership.Voters() || len(before.Membership.Members) != len(status.Membership.Members) {
 		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", status.Membership.Voters())
 	}
+	d.noteCurrent()
+}
+
+// noteCurrent logs when this replica becomes or ceases to be current.
+func (d *Driver) noteCurrent() {
+	status := d.Status()
+	isCurrent := status.IsCurrent()
+	d.mu.Lock()
+	changed := isCurrent != d.wasCurrent
+	d.wasCurrent = isCurrent
+	d.mu.Unlock()
+	if changed {
+		d.options.Logger.Info("replica is current", "current", isCurrent, "applied", status.Applied, "caught_up", status.CaughtUp, "term", status.Term)
+	}
 }
 
 // Status describes this replica.
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -30,12 +30,14 @@
 	// maxAsked bounds the calls of a search that wait for answers; there are at most 7
 	// replicas, and a few that were replaced.
 	maxAsked = 16
-	// searchStagger is the time between the calls of a search: a call between data
-	// centres takes less, and an entry asks 25 times a second at most.
-	searchStagger = 40 * time.Millisecond
-	// searchLimit bounds one call of a search. It leaves time for the whole view over
-	// a link of 2.4 Mbit/s.
-	searchLimit = pollWait + callGrace
+	// searchPatience is how long a search waits for one replica before it asks another:
+	// several round trips between data centres, and twice the time in which an entry
+	// with 0.06 of a core connects.
+	searchPatience = 100 * time.Millisecond
+	// searchPause is the time between two calls while replicas refuse.
+	searchPause = 40 * time.Millisecond
+	// searchLimit bounds one call of a search. A connection may be silent for good.
+	searchLimit = 600 * time.Millisecond
 )
 
 // ErrNotCurrent reports a replica that answers but may not know the newest state.
@@ -124,6 +126,10 @@
 	return &director.WatchRequest{Index: f.index, Wait: wait, DataCentre: f.dataCentre, Entry: f.name}
 }
 
+func (f *Follower) probe() *director.WatchRequest {
+	return &director.WatchRequest{Index: f.index, Probe: true, DataCentre: f.dataCentre, Entry: f.name}
+}
+
 // found is the outcome of asking one replica.
 type found struct {
 	replica netip.AddrPort
@@ -131,9 +137,9 @@
 	err     error
 }
 
-// search asks the replicas in turn, one each searchStagger, without waiting for the
-// answers of the earlier ones, as calls to VMs without power hang. It ends with the
-// first that answers and does not lag behind this entry, which becomes the current one.
+// search asks the replicas in turn whether they are current, and another one after
+// searchPatience without an answer, as calls to VMs without power hang. It ends with the
+// first that is and does not lag behind this entry, which becomes the current one.
 func (f *Follower) search(ctx context.Context) {
 	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -141,8 +147,6 @@
 	// each, so that no call outlives the search for long.
 	asked := make(map[netip.AddrPort]bool)
 	answers := make(chan found, maxAsked)
-	stagger := f.clock.Subscribe("next replica of a search", searchStagger)
-	defer stagger.Cancel()
 	var turn []netip.AddrPort
 	for count := 0; ; {
 		if len(turn) == 0 {
@@ -151,15 +155,17 @@
 		if replica, rest, ok := nextIdle(turn, asked); ok && len(asked) < maxAsked {
 			turn, count = rest, count+1
 			asked[replica] = true
-			go f.ask(calls, replica, f.request(0), answers)
+			go f.ask(calls, replica, f.probe(), answers)
 		} else {
 			turn = nil
 		}
-		if resp := f.awaitTurn(ctx, stagger.C, asked, answers); resp != nil {
-			f.logger.Info("control replica followed", log.FieldReplica, resp.replica, log.FieldIndex, resp.resp.Index, "calls", count)
-			f.current = resp.replica
+		if a := f.awaitTurn(ctx, asked, answers); a != nil {
+			f.logger.Info("control replica followed", log.FieldReplica, a.replica, log.FieldIndex, a.resp.Index, "calls", count)
+			f.current = a.replica
 			f.forgetOthers()
-			f.take(resp.resp)
+			if a.resp.Index == f.index {
+				f.take(a.resp)
+			}
 			return
 		}
 		if ctx.Err() != nil {
@@ -186,17 +192,26 @@
 	answers <- found{replica: replica, resp: resp, err: err}
 }
 
-// awaitTurn handles answers until the next replica may be asked. It returns the answer
-// of a replica to follow, if one came.
-func (f *Follower) awaitTurn(ctx context.Context, turn <-chan time.Time, asked map[netip.AddrPort]bool, answers <-chan found) *found {
-	for {
+// awaitTurn waits until another replica may be asked: soon after one has refused, or
+// when the last one has not answered in time. It returns the answer of a replica to
+// follow, if one came.
+func (f *Follower) awaitTurn(ctx context.Context, asked map[netip.AddrPort]bool, answers <-chan found) *found {
+	patience := f.clock.Subscribe("patience of a search", searchPatience)
+	defer patience.Cancel()
+	pause := f.clock.Subscribe("pause of a search", searchPause)
+	defer pause.Cancel()
+	mayAsk, isPaused := false, true
+	for !mayAsk || isPaused {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-turn:
-			return nil
+		case <-pause.C:
+			isPaused = false
+		case <-patience.C:
+			mayAsk, isPaused = true, false
 		case a := <-answers:
 			delete(asked, a.replica)
+			mayAsk = true
 			switch {
 			case a.err != nil:
 				f.forgetUnlessRefused(a.replica, a.err)
@@ -206,6 +221,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // forgetOthers closes the connections to the replicas that are not followed.
--- a/entry/services/follower/follower_test.go
+++ b/entry/services/follower/follower_test.go
@@ -48,6 +48,9 @@
 // at answers with an index, at once if the entry lacks it.
 func at(index uint64) func(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
 	return func(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
+		if req.Probe {
+			return &director.WatchResponse{Index: index, Replicas: []netip.AddrPort{replicaA, replicaB}}, nil
+		}
 		if req.Index >= index {
 			select {
 			case <-ctx.Done():
--- a/shared/models/director/watch.go
+++ b/shared/models/director/watch.go
@@ -20,6 +20,8 @@
 	Index uint64
 	// Wait is how long control may hold the call while nothing changes.
 	Wait time.Duration
+	// Probe asks only whether the replica is current, and for its index.
+	Probe bool
 	// DataCentre is that of the entry, and Entry its name.
 	DataCentre string
 	Entry      string
