--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/shared/models/director"
@@ -40,6 +41,10 @@
 	cold    *turns
 }
 
+// pool holds the candidates of a service: those that are ready, and those whose lease
+// has expired.
+type pool struct{ ready, lapsed []candidate }
+
 // selector places new flows at the backend server with the fewest flows of this
 // entry for each slot. It answers the usual load, where slots are free: callers
 // get a response at once if their flows do not share a slot.
@@ -47,11 +52,13 @@
 	name       string
 	dataCentre string
 	rng        *rand.Rand
-	byService  map[string][]candidate
-	flows      map[director.Token]int
-	requests   map[director.Token]int
-	cold       map[director.Token]*turns
-	silent     map[director.Token]silence
+	// pools hold the candidates by service, and services finds that of a candidate.
+	pools    map[string]*pool
+	services map[director.Token]string
+	flows    map[director.Token]int
+	requests map[director.Token]int
+	cold     map[director.Token]*turns
+	silent   map[director.Token]silence
 }
 
 // silence is what speaks for the death of a backend server: packets that callers
@@ -63,40 +70,20 @@
 
 func newSelector(name, dataCentre string, rng *rand.Rand) *selector {
 	return &selector{
-		name: name, dataCentre: dataCentre, rng: rng, byService: make(map[string][]candidate),
+		name: name, dataCentre: dataCentre, rng: rng, pools: make(map[string]*pool), services: make(map[director.Token]string),
 		flows: make(map[director.Token]int), requests: make(map[director.Token]int),
 		cold: make(map[director.Token]*turns), silent: make(map[director.Token]silence),
 	}
 }
 
-// update takes over the backend servers of a view. Those whose lease has expired
-// are used only if a service has no other.
-func (s *selector) update(directory *director.Directory, now time.Time) {
-	clear(s.byService)
-	lapsed := make(map[string][]candidate)
+// rebuild takes over all backend servers of a view.
+func (s *selector) rebuild(directory *director.Directory, now time.Time) {
+	clear(s.pools)
+	clear(s.services)
 	known := make(map[director.Token]bool)
 	for _, server := range directory.Servers() {
 		known[server.Token] = true
-		s.updateTurns(directory, server, now)
-		if directory.IsTakenOut(server.DataCentre) {
-			continue
-		}
-		c := candidate{
-			token: server.Token, slots: max(server.Slots, 1), isLocal: server.DataCentre == s.dataCentre,
-			cold: s.cold[server.Token],
-		}
-		switch server.State {
-		case director.StateReady:
-			s.byService[server.Service] = append(s.byService[server.Service], c)
-		case director.StateLapsed:
-			lapsed[server.Service] = append(lapsed[server.Service], c)
-		case director.StateDraining, director.StateGone:
-		}
-	}
-	for service, candidates := range lapsed {
-		if len(s.byService[service]) == 0 {
-			s.byService[service] = candidates
-		}
+		s.place(directory, server, now)
 	}
 	for token := range s.cold {
 		if !known[token] {
@@ -105,18 +92,101 @@
 	}
 	for token := range s.flows {
 		if !known[token] {
-			delete(s.flows, token)
-			delete(s.requests, token)
-			delete(s.silent, token)
+			s.forget(token)
 		}
 	}
 }
 
+// update takes over changes that the view has carried out. A backend server that
+// changes costs no look at the others, as thousands may change at a time.
+func (s *selector) update(directory *director.Directory, changes []director.Change, now time.Time) {
+	for _, change := range changes {
+		switch c := change.(type) {
+		case director.ServerChanged:
+			s.place(directory, c.Server, now)
+		case director.ServerForgotten:
+			s.remove(c.Token)
+			s.forget(c.Token)
+		case director.DataCentreChanged, director.ServiceChanged:
+			s.rebuild(directory, now)
+			return
+		case director.EntryEnlisted:
+			for token := range s.cold {
+				if server, ok := directory.Server(token); ok {
+					s.updateTurns(directory, server, now)
+				}
+			}
+		}
+	}
+}
+
+// place puts a backend server among those of its service that may get new flows.
+func (s *selector) place(directory *director.Directory, server director.Server, now time.Time) {
+	s.remove(server.Token)
+	s.updateTurns(directory, server, now)
+	if directory.IsTakenOut(server.DataCentre) {
+		return
+	}
+	c := candidate{
+		token: server.Token, slots: max(server.Slots, 1), isLocal: server.DataCentre == s.dataCentre,
+		cold: s.cold[server.Token],
+	}
+	p := s.pools[server.Service]
+	if p == nil {
+		p = new(pool)
+		s.pools[server.Service] = p
+	}
+	switch server.State {
+	case director.StateReady:
+		p.ready = append(p.ready, c)
+	case director.StateLapsed:
+		p.lapsed = append(p.lapsed, c)
+	case director.StateDraining, director.StateGone:
+		return
+	}
+	s.services[server.Token] = server.Service
+}
+
+// remove takes a backend server out of its service.
+func (s *selector) remove(token director.Token) {
+	service, ok := s.services[token]
+	if !ok {
+		return
+	}
+	delete(s.services, token)
+	isToken := func(c candidate) bool { return c.token == token }
+	p := s.pools[service]
+	p.ready = slices.DeleteFunc(p.ready, isToken)
+	p.lapsed = slices.DeleteFunc(p.lapsed, isToken)
+}
+
+// forget drops what was noted of a backend server.
+func (s *selector) forget(token director.Token) {
+	delete(s.flows, token)
+	delete(s.requests, token)
+	delete(s.silent, token)
+	delete(s.cold, token)
+}
+
+// candidates returns the backend servers that may get new flows of a service. Those
+// whose lease has expired are used only if it has no other.
+func (s *selector) candidates(service string) []candidate {
+	p := s.pools[service]
+	switch {
+	case p == nil:
+		return nil
+	case len(p.ready) > 0:
+		return p.ready
+	default:
+		return p.lapsed
+	}
+}
+
 // pick returns the token of the least loaded backend server of a service, or 0.
 // The one that was tried before is used only if there is no other.
 func (s *selector) pick(service string, tried director.Token, now time.Time) director.Token {
 	best, bestLoad, ties := director.Token(0), 0.0, 0
-	for _, c := range s.byService[service] {
+	for _, c := range s.candidates(service) {
 		if c.token == tried || !c.cold.mayTake(now) {
 			continue
 		}
@@ -133,7 +203,7 @@
 		}
 	}
 	if best == 0 {
-		for _, c := range s.byService[service] {
+		for _, c := range s.candidates(service) {
 			if c.token == tried && c.cold.mayTake(now) {
 				best = tried
 			}
@@ -186,7 +256,7 @@
 // describe returns how a choice looks to this entry.
 func (s *selector) describe(server director.Server, tried director.Token, now time.Time) Placement {
 	return Placement{
-		IsNew: true, Open: len(s.byService[server.Service]), Flows: s.flows[server.Token], Requests: s.requests[server.Token],
+		IsNew: true, Open: len(s.candidates(server.Service)), Flows: s.flows[server.Token], Requests: s.requests[server.Token],
 		IsHome: server.DataCentre == s.dataCentre, IsSilent: now.Before(s.silent[server.Token].until), Tried: tried,
 	}
 }
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -63,8 +63,10 @@
 		s.directory.Apply(change)
 	}
 	s.index, s.viewedAt = index, now
-	if len(changes) > 0 {
-		s.selector.update(s.directory, now)
+	if complete {
+		s.selector.rebuild(s.directory, now)
+	} else {
+		s.selector.update(s.directory, changes, now)
 	}
 }
 
