Name the gate and the propagation time by the field's terms

Cause: reading as a newcomer: 'patience' and 'forces' are no terms of the field. Change: names only. A gate lets announcements wait until a replica is current; the histogram is propagation_time.

--- a/control/routers/broadcaster/broadcaster.go
+++ b/control/routers/broadcaster/broadcaster.go
@@ -30,12 +30,13 @@
 	// same one do not all encode it.
 	encoding sync.Mutex
 	encoded  encodings
-	forces   *forces
+	// applied measures how long changes take to entries.
+	applied *propagation
 }
 
 // New returns a Broadcaster.
 func New(s *service.Service, clock timer.Service, counters *reporter.Counters) *Broadcaster {
-	return &Broadcaster{service: s, counters: counters, forces: newForces(clock, counters.Histogram("force_time"))}
+	return &Broadcaster{service: s, counters: counters, applied: newPropagation(clock, counters.Histogram("propagation_time"))}
 }
 
 // Service returns the gRPC service for entries and other replicas.
@@ -80,7 +81,7 @@
 // that entries turn to another replica.
 func (b *Broadcaster) watch(ctx context.Context, req *director.WatchRequest) (*director.WatchResponse, error) {
 	if !req.Probe {
-		b.forces.confirm(req.Entry, req.Index)
+		b.applied.confirm(req.Entry, req.Index)
 	}
 	deadline, cancel := context.WithTimeout(ctx, min(max(req.Wait, 0), maxWait))
 	defer cancel()
@@ -102,7 +103,7 @@
 			if err != nil {
 				return nil, status.Error(codes.Internal, err.Error())
 			}
-			b.forces.expect(req.Entry, e)
+			b.applied.expect(req.Entry, e)
 			return b.answer(e), nil
 		}
 		select {
--- a/control/routers/broadcaster/broadcaster_test.go
+++ b/control/routers/broadcaster/broadcaster_test.go
@@ -151,7 +151,7 @@
 }
 
 // Guards against changes that count as in force before the entry has said so.
-func TestForceTimeEndsWithTheNextPoll(t *testing.T) {
+func TestPropagationEndsWithTheNextPoll(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, current)
 	poll := func(index uint64) {
@@ -160,8 +160,8 @@
 	}
 	poll(0)
 	f.clock.Advance(20 * time.Millisecond)
-	require.Contains(t, f.counters.Text(), "force_time.count 0\n")
+	require.Contains(t, f.counters.Text(), "propagation_time.count 0\n")
 	poll(5)
-	require.Contains(t, f.counters.Text(), "force_time.count 1\n")
-	require.Contains(t, f.counters.Text(), "force_time.max_ms 20")
+	require.Contains(t, f.counters.Text(), "propagation_time.count 1\n")
+	require.Contains(t, f.counters.Text(), "propagation_time.max_ms 20")
 }
--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -26,9 +26,9 @@
 	// reportPeriod is the time between two reports of renewals, well below the grace of
 	// a lease.
 	reportPeriod = 300 * time.Millisecond
-	// reportPatience is how long reports may fail before renewals are refused: one that
+	// reportGrace is how long reports may fail before renewals are refused: one that
 	// is lost to a change of the leader must not send all backend servers elsewhere.
-	reportPatience = 900 * time.Millisecond
+	reportGrace = 900 * time.Millisecond
 	// registerTimeout bounds the call to the leader, so that callers can still turn to
 	// another replica.
 	registerTimeout = 600 * time.Millisecond
@@ -100,7 +100,7 @@
 // to the leader. It waits for a replica that is not current, as after a common start
 // thousands of backend servers that are refused would all ask the next one at once.
 func (s *Service) Announce(ctx context.Context, a Announcement) error {
-	if err := s.patience.await(ctx, s.IsCurrent); err != nil {
+	if err := s.current.await(ctx, s.IsCurrent); err != nil {
 		return err
 	}
 	if token, ok := s.machine().IsKnown(a); ok {
@@ -136,7 +136,7 @@
 		s.leases[token] = now
 		return nil
 	}
-	if !s.unreportedSince.IsZero() && now.Sub(s.unreportedSince) > reportPatience {
+	if !s.unreportedSince.IsZero() && now.Sub(s.unreportedSince) > reportGrace {
 		return replicator.ErrNoQuorum{Reason: "the leader gets no reports of this replica"}
 	}
 	if len(s.renewed) < maxRenewals {
@@ -296,8 +296,8 @@
 	return "a later announcement or start is known"
 }
 
-// RunPatience lets announcements wait for this replica until ctx ends.
-func (s *Service) RunPatience(ctx context.Context) { s.patience.run(ctx, s.IsCurrent) }
+// RunGate lets announcements go on once this replica is current, until ctx ends.
+func (s *Service) RunGate(ctx context.Context) { s.current.run(ctx, s.IsCurrent) }
 
 // RunReporting reports renewals to the leader until ctx ends.
 func (s *Service) RunReporting(ctx context.Context) {
--- a/control/services/director/registration_test.go
+++ b/control/services/director/registration_test.go
@@ -164,13 +164,13 @@
 			t.Parallel()
 			clock := timer.NewFake(time.Unix(1000, 0))
 			var isCurrent atomic.Bool
-			p := newPatience(clock)
+			g := newGate(clock)
 			ctx, cancel := context.WithCancel(t.Context())
 			var running sync.WaitGroup
-			running.Go(func() { p.run(ctx, isCurrent.Load) })
+			running.Go(func() { g.run(ctx, isCurrent.Load) })
 			outcomes := make(chan error, callers)
 			for range callers {
-				running.Go(func() { outcomes <- p.await(ctx, isCurrent.Load) })
+				running.Go(func() { outcomes <- g.await(ctx, isCurrent.Load) })
 			}
 			require.Never(t, func() bool { return len(outcomes) > 0 }, 50*time.Millisecond, 10*time.Millisecond)
 			isCurrent.Store(becomesCurrent)
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -35,8 +35,8 @@
 const sweepTimeout = time.Second
 
 // Service accepts declarations and data centre changes on the replica that leads, and
-// announcements on every replica. Run, RunForwarding, RunReporting and RunPatience must
-// be called once each. It is safe for concurrent use.
+// announcements on every replica. Run, RunForwarding, RunReporting and RunGate must be
+// called once each. It is safe for concurrent use.
 type Service struct {
 	settings Settings
 	replica  replicator.Proposer
@@ -46,8 +46,8 @@
 	logger   *slog.Logger
 	// submissions wait to be handed to the leader.
 	submissions *buffer.Ring[submission]
-	// patience lets announcements wait until this replica is current.
-	patience *patience
+	// current lets announcements wait until this replica is current.
+	current *gate
 
 	mu sync.Mutex
 	// leases hold the time of the newest announcement, by token.
@@ -68,7 +68,7 @@
 func NewService(settings Settings, replica replicator.Proposer, machine func() *Machine, leader LeaderCaller, clock timer.Service, logger *slog.Logger) *Service {
 	return &Service{
 		settings: settings, replica: replica, machine: machine, leader: leader, clock: clock, logger: logger,
-		submissions: buffer.NewRing[submission](submissionCapacity), patience: newPatience(clock),
+		submissions: buffer.NewRing[submission](submissionCapacity), current: newGate(clock),
 		leases: make(map[director.Token]time.Time), ended: make(map[director.Token]time.Time),
 		renewed: make(map[director.Token]struct{}),
 	}
--- a/entry/services/follower/follower.go
+++ b/entry/services/follower/follower.go
@@ -30,10 +30,10 @@
 	// maxAsked bounds the calls of a search that wait for answers; there are at most 7
 	// replicas, and a few that were replaced.
 	maxAsked = 16
-	// searchPatience is how long a search waits for one replica before it asks another:
+	// askTimeout is how long a search waits for one replica before it asks another:
 	// several round trips between data centres, and twice the time in which an entry
 	// with 0.06 of a core connects.
-	searchPatience = 100 * time.Millisecond
+	askTimeout = 100 * time.Millisecond
 	// searchPause is the time between two calls while replicas refuse.
 	searchPause = 40 * time.Millisecond
 	// searchLimit bounds one call of a search. A connection may be silent for good.
@@ -138,7 +138,7 @@
 }
 
 // search asks the replicas in turn whether they are current, and another one after
-// searchPatience without an answer, as calls to VMs without power hang. It ends with the
+// askTimeout without an answer, as calls to VMs without power hang. It ends with the
 // first that is and does not lag behind this entry, which becomes the current one.
 func (f *Follower) search(ctx context.Context) {
 	calls, cancel := context.WithCancel(ctx)
@@ -196,8 +196,8 @@
 // when the last one has not answered in time. It returns the answer of a replica to
 // follow, if one came.
 func (f *Follower) awaitTurn(ctx context.Context, asked map[netip.AddrPort]bool, answers <-chan found) *found {
-	patience := f.clock.Subscribe("patience of a search", searchPatience)
-	defer patience.Cancel()
+	timeout := f.clock.Subscribe("next replica of a search", askTimeout)
+	defer timeout.Cancel()
 	pause := f.clock.Subscribe("pause of a search", searchPause)
 	defer pause.Cancel()
 	mayAsk, isPaused := false, true
@@ -207,7 +207,7 @@
 			return nil
 		case <-pause.C:
 			isPaused = false
-		case <-patience.C:
+		case <-timeout.C:
 			mayAsk, isPaused = true, false
 		case a := <-answers:
 			delete(asked, a.replica)
