Acknowledge the flows that a leaving entry hands over

The only entry that had seen the flow left, and the message with its copy was lost, as 1% of messages are in this test; copies were neither acknowledged nor sent again.

Change: Placements of a leaving entry carry a sequence and are acknowledged; without an acknowledgement they are sent again after 150 ms, to the next owner if the first has died. Flows that find the queue full wait in the list of rare flows. Both go on until the process ends.

--- a/entry/models/messenger/placement.go
+++ b/entry/models/messenger/placement.go
@@ -10,6 +10,7 @@
 	KindStanding      Kind = 55
 	KindSilenceQuery  Kind = 56
 	KindSilenceAnswer Kind = 57
+	KindPlacementsAck Kind = 58
 )
 
 // Fingerprints and lines are packed into byte strings, because a CBOR array costs
@@ -28,11 +29,22 @@
 	// IsReplacing is set if the lines override what the receiver has, because the
 	// flows were closed and opened again.
 	IsReplacing bool `cbor:"3,keyasint,omitempty"`
+	// Sequence, unless 0, asks for a PlacementsAck that names it.
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind returns KindPlacements.
 func (Placements) Kind() Kind { return KindPlacements }
 
+// PlacementsAck states that the sender has taken over Placements.
+type PlacementsAck struct {
+	sealed   `cbor:"-"`
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// Kind returns KindPlacementsAck.
+func (PlacementsAck) Kind() Kind { return KindPlacementsAck }
+
 // FlowQuery asks which of the flows the receiver has.
 type FlowQuery struct {
 	sealed `cbor:"-"`
@@ -166,6 +178,8 @@
 	switch w.Kind {
 	case KindPlacements:
 		return decodeAs[Placements](w)
+	case KindPlacementsAck:
+		return decodeAs[PlacementsAck](w)
 	case KindFlowQuery:
 		return decodeAs[FlowQuery](w)
 	case KindFlowAnswer:
--- a/entry/services/placer/decide.go
+++ b/entry/services/placer/decide.go
@@ -155,8 +155,8 @@
 	case packet.isClosing():
 		line.Flags = tracker.FlagClosed
 	}
-	if m.mode == modeLeaving {
-		m.handOverLine(svc, line)
+	if m.mode == modeLeaving && !m.handOverLine(svc, line) {
+		m.leaving.rare = append(m.leaving.rare, line)
 	}
 	return m.cache.Insert(line)
 }
--- a/entry/services/placer/failure_test.go
+++ b/entry/services/placer/failure_test.go
@@ -138,10 +138,15 @@
 	}
 }
 
+// failedLate are seeds that broke a flow. 96 and 109: copies that a leaving entry handed
+// over were lost and not sent again. 14: flows that began during the hand-over were left
+// out while its queue was full.
+var failedLate = []uint64{14, 96, 109}
+
 // Guards against a guess where a flow is: on a busy machine the only peer that knows a
 // flow may answer later than the query limit, and a packet sent elsewhere ends the flow.
 func TestLateAnswersBreakNoFlow(t *testing.T) {
-	for _, seed := range seeds(t, 10) {
+	for _, seed := range seeds(t, 10, failedLate...) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			n := newNetwork(seed, 2)
--- a/entry/services/placer/leave.go
+++ b/entry/services/placer/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +16,18 @@
 	until time.Time
 	// rare are flows that other entries may not have seen, the likeliest first.
 	rare []tracker.Line
+	// handOvers are the messages that their receivers have not acknowledged, by
+	// sequence.
+	handOvers    map[uint64]*handOver
+	nextSequence uint64
+}
+
+// handOver is a message with flows that only this entry may know.
+type handOver struct {
+	to      uint16
+	message messenger.Placements
+	sentAt  time.Time
+	tries   int
 }
 
 const (
@@ -25,8 +38,26 @@
 	rareBits = 15
 	// leastRarePackets is the number of packets at 8 entries, kept for more.
 	leastRarePackets = 6
+	// handOverResend is the time without an acknowledgement after which flows are handed
+	// over again: a few round trips between data centres.
+	handOverResend = 150 * time.Millisecond
+	// handOverTries bounds the messages to a receiver that never acknowledges, such as one
+	// of an earlier version.
+	handOverTries = 8
 )
 
+// expectAck notes a message until its receiver acknowledges it, and returns its
+// sequence.
+func (l *leaver) expectAck(to uint16, message messenger.Placements, now time.Time) uint64 {
+	if l.handOvers == nil {
+		l.handOvers = make(map[uint64]*handOver)
+	}
+	l.nextSequence++
+	message.Sequence = l.nextSequence
+	l.handOvers[message.Sequence] = &handOver{to: to, message: message, sentAt: now, tries: 1}
+	return message.Sequence
+}
+
 // rarePackets returns the number of packets seen here from which on other entries have
 // seen the flow, too: 16 with 2 entries, 6 with 8.
 func rarePackets(entries int) int {
@@ -119,12 +150,40 @@
 	return true
 }
 
+// resendHandOvers sends again what was not acknowledged in time. Flows that were handed to
+// an entry that has died since go to their new owners.
+func (m *Machine) resendHandOvers() {
+	for _, sequence := range slices.Sorted(maps.Keys(m.leaving.handOvers)) {
+		h := m.leaving.handOvers[sequence]
+		switch {
+		case !m.entries[h.to].isLive:
+			delete(m.leaving.handOvers, sequence)
+			m.unpack(h.message.Targets, h.message.Lines, func(p placement) {
+				m.leaving.rare = append(m.leaving.rare, m.toLine(p))
+			})
+		case m.now.Sub(h.sentAt) < handOverResend:
+		case h.tries >= handOverTries:
+			delete(m.leaving.handOvers, sequence)
+		case m.placementTokens.has(m.now):
+			h.sentAt = m.now
+			h.tries++
+			m.placementTokens.spend(messageOverhead + 9*len(h.message.Targets) + len(h.message.Lines))
+			m.send(h.to, h.message)
+		}
+	}
+}
+
 func (m *Machine) advanceLeave() {
-	if m.mode != modeLeaving || m.leaving.until.IsZero() {
+	if m.mode != modeLeaving {
 		return
 	}
+	// Flows still arrive until the process ends, also once the hand-over has completed.
+	m.resendHandOvers()
 	m.handOver()
-	isDone := len(m.leaving.rare) == 0
+	if m.leaving.until.IsZero() {
+		return
+	}
+	isDone := len(m.leaving.rare) == 0 && len(m.leaving.handOvers) == 0
 	for i := range m.entries {
 		e := &m.entries[i]
 		if e.isLive && (len(e.outbox.streams) > 0 || len(e.copies) > 0) {
--- a/entry/services/placer/placement.go
+++ b/entry/services/placer/placement.go
@@ -138,7 +138,11 @@
 
 func (m *Machine) sendPlacement(to uint16, p *packer, isReplacing bool) {
 	m.placementTokens.spend(messageOverhead + 9*len(p.targets) + len(p.lines))
-	m.send(to, messenger.Placements{Targets: p.targets, Lines: p.lines, IsReplacing: isReplacing})
+	message := messenger.Placements{Targets: p.targets, Lines: p.lines, IsReplacing: isReplacing}
+	if m.mode == modeLeaving && !isReplacing {
+		message.Sequence = m.leaving.expectAck(to, message, m.now)
+	}
+	m.send(to, message)
 }
 
 // sendReplaced tells all peers at once of the flows opened again elsewhere: the
@@ -156,7 +160,11 @@
 	}
 }
 
-func (m *Machine) receivePlacements(msg messenger.Placements) {
+func (m *Machine) receivePlacements(from uint16, msg messenger.Placements) {
+	if msg.Sequence != 0 {
+		m.placementTokens.spend(messageOverhead)
+		m.send(from, messenger.PlacementsAck{Sequence: msg.Sequence})
+	}
 	m.unpack(msg.Targets, msg.Lines, func(p placement) {
 		if msg.IsReplacing {
 			delete(m.services[m.backends[p.target].service].exceptions, exceptionKey(p.flow))
--- a/entry/services/placer/step.go
+++ b/entry/services/placer/step.go
@@ -142,7 +142,9 @@
 	}
 	switch msg := message.(type) {
 	case messenger.Placements:
-		m.receivePlacements(msg)
+		m.receivePlacements(from, msg)
+	case messenger.PlacementsAck:
+		delete(m.leaving.handOvers, msg.Sequence)
 	case messenger.FlowQuery:
 		m.answerQuery(from, msg)
 	case messenger.FlowAnswer:
