Bind answers of backend servers to their requests in the gateway

HTTP/1.1 matches answers to requests by order alone, and the gateway used a connection again for any caller. A second copy of an answer that came once the connection was in use again was passed to the next caller.

Change: each dispatch has a random Dispatch-Id. A connection is used again only for a backend server that sends it back, and an answer there that does not name its request counts as "may have run"; idempotent requests are tried again. A second copy of a refusal is not believed either, which would have called a request that ran "not run". The stand-in of the demonstration echoes.

Time a request was not measured; a backend server that does not echo costs a connection a request.

--- a/demo/services/worker/worker.go
+++ b/demo/services/worker/worker.go
@@ -74,6 +74,8 @@
 
 // ServeHTTP runs a request, or sheds it while all slots are in use.
 func (w *Worker) ServeHTTP(response http.ResponseWriter, request *http.Request) {
+	// Gateways use a connection again if answers name their request.
+	response.Header().Set("Dispatch-Id", request.Header.Get("Dispatch-Id"))
 	select {
 	case w.slots <- struct{}{}:
 		defer func() { <-w.slots }()
--- a/gateway/services/dispatcher/dispatcher.go
+++ b/gateway/services/dispatcher/dispatcher.go
@@ -12,7 +12,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
@@ -157,10 +156,9 @@
 
 func (d *Dispatcher) send(ctx context.Context, req Request, slot leaser.Slot) try {
 	now := d.clock.Now()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), req, slot, req.Deadline.Sub(now))
-	transport := d.pool.Get(now, slot.Address)
+	out := newUpstreamRequest(req, slot, req.Deadline.Sub(now))
+	bound := newBinding(d.pool.get(now, slot.Address), out.Header)
+	out = out.WithContext(httptrace.WithClientTrace(ctx, bound.trace()))
 	now = d.clock.Now()
 	if !now.Before(slot.Until) {
 		d.slots.Return(slot, leaser.ResultUnused, 0)
@@ -171,9 +169,14 @@
 		return try{outcome: recorder.RefusedNotRun{Reason: recorder.ReasonDeadline}}
 	}
 	d.counters.Int("dispatches").Add(1)
-	resp, err := transport.RoundTrip(out)
+	resp, err := bound.transport().RoundTrip(out)
 	if err != nil {
-		return d.failed(ctx, req, slot, connected.Load())
+		return d.failed(ctx, req, slot, bound.isConnected.Load())
+	}
+	if !bound.accept(resp) {
+		d.counters.Int("answers_of_other_requests").Add(1)
+		_ = resp.Body.Close()
+		return d.failed(ctx, req, slot, true)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return d.shed(req, slot, resp, now)
@@ -221,7 +224,7 @@
 // Close does nothing.
 func (upstreamBody) Close() error { return nil }
 
-func newUpstreamRequest(ctx context.Context, req Request, slot leaser.Slot, left time.Duration) *http.Request {
+func newUpstreamRequest(req Request, slot leaser.Slot, left time.Duration) *http.Request {
 	header := req.Header.Clone()
 	removeHopByHop(header)
 	header.Set(HeaderTimeout, strconv.FormatFloat(max(0, left.Seconds()), 'f', 3, 64))
@@ -233,10 +236,9 @@
 	if unescaped, err := url.PathUnescape(path); err == nil {
 		target.Path, target.RawPath = unescaped, path
 	}
-	out := &http.Request{
+	return &http.Request{
 		Method: req.Method, URL: target, Host: req.Host, Header: header,
 		Body: upstreamBody{bytes.NewReader(req.Body)}, ContentLength: int64(len(req.Body)),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	return out.WithContext(ctx)
 }
--- a/gateway/services/dispatcher/pool.go
+++ b/gateway/services/dispatcher/pool.go
@@ -24,42 +24,41 @@
 )
 
 // Pool keeps the connections to each backend server. Each address has its own
-// transport, so that all its idle connections can be retired after a failure.
+// transports, so that all its idle connections can be retired after a failure.
 type Pool struct {
-	mu         sync.Mutex
-	transports map[netip.AddrPort]*pooled
-}
-
-type pooled struct {
-	transport *http.Transport
-	used      time.Time
+	mu    sync.Mutex
+	addrs map[netip.AddrPort]*pooled
+	// used holds when each address was used last.
+	used map[netip.AddrPort]time.Time
 }
 
 // NewPool returns an empty Pool.
-func NewPool() *Pool { return &Pool{transports: make(map[netip.AddrPort]*pooled)} }
+func NewPool() *Pool {
+	return &Pool{addrs: make(map[netip.AddrPort]*pooled), used: make(map[netip.AddrPort]time.Time)}
+}
 
-// Get returns the transport for an address.
-func (p *Pool) Get(now time.Time, addr netip.AddrPort) *http.Transport {
+// get returns the connections to an address.
+func (p *Pool) get(now time.Time, addr netip.AddrPort) *pooled {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t, ok := p.transports[addr]; ok {
-		t.used = now
-		return t.transport
+	p.used[addr] = now
+	if t, ok := p.addrs[addr]; ok {
+		return t
 	}
 	p.expireLocked(now)
-	t := &pooled{transport: newTransport(addr), used: now}
-	p.transports[addr] = t
-	return t.transport
+	t := newPooled(addr)
+	p.addrs[addr] = t
+	return t
 }
 
 // Retire closes the idle connections to an address after a failure: they may
 // be as silent as the one that failed.
 func (p *Pool) Retire(addr netip.AddrPort) {
 	p.mu.Lock()
-	t := p.transports[addr]
+	t := p.addrs[addr]
 	p.mu.Unlock()
 	if t != nil {
-		t.transport.CloseIdleConnections()
+		t.kept.CloseIdleConnections()
 	}
 }
 
@@ -67,16 +66,17 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range p.transports {
-		t.transport.CloseIdleConnections()
+	for _, t := range p.addrs {
+		t.kept.CloseIdleConnections()
 	}
 }
 
 func (p *Pool) expireLocked(now time.Time) {
-	for addr, t := range p.transports {
-		if now.Sub(t.used) > poolExpiry {
-			t.transport.CloseIdleConnections()
-			delete(p.transports, addr)
+	for addr, t := range p.addrs {
+		if now.Sub(p.used[addr]) > poolExpiry {
+			t.kept.CloseIdleConnections()
+			delete(p.addrs, addr)
+			delete(p.used, addr)
 		}
 	}
 }
