Refuse malformed replica messages, and contain panics

Handlers of gRPC and the packet path had no recovery either, and a command that makes the state machine panic would have ended all replicas at each start.

--- a/control/services/driver/applying.go
+++ b/control/services/driver/applying.go
@@ -5,6 +5,7 @@
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/modules/catcher"
 )
 
 // runApplier owns the Applier.
@@ -39,13 +40,25 @@
 	for _, e := range entries {
 		var o outcome
 		if e.Kind == storer.EntryCommand {
-			o.result, o.err = d.options.Applier.Apply(e.Index, e.Data)
+			o = d.applyContained(e)
 		}
 		d.setApplied(e.Index)
 		d.waiting.applied(e.Index, e.Term, o)
 	}
 }
 
+// applyContained applies a command. One that makes the Applier panic does so at every
+// replica and after every restart, so that it is refused instead: all replicas leave the
+// same state behind, as they run the same code on the same state.
+func (d *Driver) applyContained(e storer.Entry) (o outcome) {
+	err := catcher.Run(func() { o.result, o.err = d.options.Applier.Apply(e.Index, e.Data) })
+	if err != nil {
+		d.options.Logger.Error("command refused; the replica goes on", "index", e.Index, "term", e.Term, "error", withStack(err))
+		o = outcome{err: err}
+	}
+	return o
+}
+
 func (d *Driver) setApplied(index uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -20,6 +20,7 @@
 	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+	"github.com/redwingledge/redwingledge/shared/modules/catcher"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
@@ -196,7 +197,11 @@
 		if n == 0 || d.getFailed() != nil {
 			return
 		}
-		out := d.machine.Step(d.stamp(batch[:n])...)
+		var out []replicator.Output
+		if err := catcher.Run(func() { out = d.machine.Step(d.stamp(batch[:n])...) }); err != nil {
+			d.fail(fmt.Errorf("handle a message: %w", withStack(err)))
+			return
+		}
 		if err := d.save(out); err != nil {
 			d.fail(fmt.Errorf("store the log: %w", err))
 			return
@@ -208,6 +213,15 @@
 	}
 }
 
+// withStack adds the place of a panic to its error, for the log.
+func withStack(err error) error {
+	var panicked catcher.ErrPanicked
+	if errors.As(err, &panicked) {
+		return fmt.Errorf("%w\n%s", err, panicked.Stack)
+	}
+	return err
+}
+
 // save makes durable what a step stores, and measures how long that takes.
 func (d *Driver) save(out []replicator.Output) error {
 	batch := collect(out)
--- /dev/null
+++ b/control/services/driver/panic_test.go
@@ -0,0 +1,58 @@
+package driver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/modules/catcher"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
+	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
+)
+
+// panicking is an Applier that some commands make panic.
+type panicking struct{ counter }
+
+func (p *panicking) Apply(index uint64, command []byte) ([]byte, error) {
+	if string(command) == "poison" {
+		panic("cannot apply")
+	}
+	return p.counter.Apply(index, command)
+}
+
+// Guards against a command that ends every replica, and again after each restart.
+func TestPoisonousCommandIsRefused(t *testing.T) {
+	t.Parallel()
+	settings := settingsOf(newPeers(t, 1), 0)
+	r := startWith(t, settings, storer.Settings{Folder: t.TempDir()}, new(panicking))
+	require.Eventually(t, func() bool { return r.Status().Role == replicator.RoleLeader && r.Status().HasQuorum }, 10*time.Second, 5*time.Millisecond)
+	_, err := r.Propose(t.Context(), []byte("poison"))
+	require.ErrorAs(t, err, new(catcher.ErrPanicked))
+	_, err = r.Propose(t.Context(), []byte("good"))
+	require.NoError(t, err)
+}
+
+// Guards against a panic of the replicated log that ends the process: the replica stops, and
+// says why, so that it can be opened again.
+func TestPanicStopsOnlyTheReplica(t *testing.T) {
+	t.Parallel()
+	store, state, err := storer.Open(storer.Settings{Folder: t.TempDir()})
+	require.NoError(t, err)
+	d, err := New(Options{
+		Settings: settingsOf(newPeers(t, 1), 0), Store: store, State: state, Applier: new(counter),
+		Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(),
+	})
+	require.NoError(t, err)
+	d.machine = nil
+	d.Start()
+	t.Cleanup(func() {
+		d.Stop()
+		_ = store.Close()
+	})
+	require.Eventually(t, func() bool { return d.Status().Failed != nil }, 5*time.Second, 5*time.Millisecond)
+	require.ErrorContains(t, d.Status().Failed, "panic")
+}
--- a/control/services/replicator/following.go
+++ b/control/services/replicator/following.go
@@ -34,24 +34,7 @@
 	}
 }
 
-// isValid reports whether the entries follow PrevIndex and can be read.
-func (req *AppendRequest) isValid() bool {
-	for i, e := range req.Entries {
-		if e.Index != req.PrevIndex+1+uint64(i) {
-			return false
-		}
-		if _, err := decodeMembership(e); err != nil {
-			return false
-		}
-	}
-	return true
-}
-
 func (m *Machine) handleAppendRequest(from storer.Identity, req *AppendRequest) {
-	if !req.isValid() {
-		m.counts.MessagesRefused++
-		return
-	}
 	resp := &AppendResponse{Echo: m.echo(req.Round, req.SentAt)}
 	if m.followLeader(from, req.Term) {
 		resp.Success, resp.Match = m.acceptEntries(req)
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -259,7 +259,7 @@
 func (m *Machine) receive(env Envelope) {
 	cluster := m.membership().Cluster
 	if (!env.To.IsZero() && env.To != m.id) || env.From == m.id ||
-		(!cluster.IsZero() && !env.Cluster.IsZero() && cluster != env.Cluster) {
+		(!cluster.IsZero() && !env.Cluster.IsZero() && cluster != env.Cluster) || !isValid(env.Message) {
 		m.counts.MessagesRefused++
 		return
 	}
--- a/entry/routers/carrier/carrier.go
+++ b/entry/routers/carrier/carrier.go
@@ -4,17 +4,20 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/services/steerer"
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
@@ -56,8 +59,8 @@
 	// recorder writes the decisions to the log.
 	recorder *recorder
 
-	received, forwarded, resets, malformed, sendErrors *expvar.Int
-	refused, placed                                    *expvar.Map
+	received, forwarded, resets, malformed, panicked, sendErrors *expvar.Int
+	refused, placed                                              *expvar.Map
 }
 
 // Listen binds the address for the packets of callers.
@@ -73,6 +76,7 @@
 		conn: conn, codec: codec, steerer: s, clock: clock, logger: logger, recorder: newRecorder(logger),
 		received: counters.Int("packets_received"), forwarded: counters.Int("packets_forwarded"),
 		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
+		panicked:   counters.Int("packets_panicked"),
 		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
 		placed: counters.Map("flows_placed"),
 	}, nil
@@ -99,7 +103,7 @@
 			continue
 		}
 		c.received.Add(1)
-		c.carry(in[:n], out)
+		c.carryContained(in[:n], out)
 	}
 	c.running.Wait()
 }
@@ -118,6 +122,18 @@
 	}
 }
 
+// carryContained drops a packet that makes the code panic, rather than all packets with the
+// process.
+func (c *Carrier) carryContained(datagram, out []byte) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.panicked.Add(1)
+			c.logger.Error("packet dropped; the entry goes on", log.FieldError, fmt.Sprintf("panic: %v", value), "packet", hex.EncodeToString(datagram), "stack", string(debug.Stack()))
+		}
+	}()
+	c.carry(datagram, out)
+}
+
 func (c *Carrier) carry(datagram, out []byte) {
 	packet, err := c.codec.Decode(datagram)
 	if err != nil {
--- a/shared/modules/runner/runner.go
+++ b/shared/modules/runner/runner.go
@@ -55,6 +55,7 @@
 	lines := log.NewWriter(logOutput, dropped)
 	defer lines.Close()
 	logger := log.New(lines, common.Settings)
+	slog.SetDefault(logger)
 	app := fx.New(
 		fx.Supply(logger, common),
 		fx.Invoke(func(counters *reporter.Counters) {
--- a/shared/modules/transporter/server.go
+++ b/shared/modules/transporter/server.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"github.com/redwingledge/redwingledge/shared/modules/catcher"
 )
 
 // Service is a named set of unary methods.
@@ -35,16 +41,33 @@
 				return nil, err
 			}
 			if interceptor == nil {
-				return handler(ctx, req)
+				return contain(ctx, full, req, handler)
 			}
 			info := &grpc.UnaryServerInfo{FullMethod: full}
 			return interceptor(ctx, req, info, func(ctx context.Context, _ any) (any, error) {
-				return handler(ctx, req)
+				return contain(ctx, full, req, handler)
 			})
 		},
 	})
 }
 
+// contain calls a handler. A panic ends the call with codes.Internal, and not the process
+// that serves all others.
+func contain[Req, Resp any](ctx context.Context, method string, req *Req, handler func(context.Context, *Req) (*Resp, error)) (resp *Resp, err error) {
+	caught := catcher.Run(func() { resp, err = handler(ctx, req) })
+	if caught != nil {
+		logPanic(ctx, method, caught)
+		return nil, status.Errorf(codes.Internal, "%s failed: %v", method, caught)
+	}
+	return resp, err
+}
+
+func logPanic(ctx context.Context, method string, caught error) {
+	var panicked catcher.ErrPanicked
+	errors.As(caught, &panicked)
+	slog.ErrorContext(ctx, "call failed; the process goes on", "method", method, "error", caught, "stack", string(panicked.Stack))
+}
+
 // Server serves services on one address.
 type Server struct {
 	listener net.Listener
--- a/shared/modules/transporter/transporter_test.go
+++ b/shared/modules/transporter/transporter_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
@@ -38,6 +40,30 @@
 	require.Equal(t, greeting{Name: "hello a", From: from}, *resp)
 }
 
+// Guards against a call that ends the process and with it all others.
+func TestPanicEndsOneCall(t *testing.T) {
+	t.Parallel()
+	service := transporter.NewService("test.Greeter")
+	transporter.Handle(service, "Greet", func(_ context.Context, req *greeting) (*greeting, error) {
+		if req.Name == "" {
+			panic("no name")
+		}
+		return req, nil
+	})
+	server, err := transporter.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, service)
+	require.NoError(t, err)
+	go func() { _ = server.Serve() }()
+	defer server.Stop()
+	pool := transporter.NewPool(nil)
+	defer pool.Close()
+	greet := func(name string) error {
+		_, err := transporter.Call[greeting, greeting](t.Context(), pool, netip.MustParseAddrPort(server.Addr()), "/test.Greeter/Greet", &greeting{Name: name})
+		return err
+	}
+	require.Equal(t, codes.Internal, status.Code(greet("")))
+	require.NoError(t, greet("a"))
+}
+
 // Guards against control bytes that are not counted on one side: what one process sends,
 // the other receives.
 func TestTrafficCountsBothSides(t *testing.T) {
