Let permissions of replicas run out during a pause

A replica published at each step whether it heard a leader with a majority, and calls read that. After a pause of the process a poll or an announcement that was handled before the first step was answered by what was known before the pause. The clock of Go also stops while a VM is suspended, so that after a suspension of any length replicas counted the majority of before for up to 0.9 s, and an entry refused addresses by a view that looked fresh.

Change: Status counts a majority only for one election timeout after the step that noted it. Replicas read CLOCK_BOOTTIME (timer.BootTime); an entry reads it for each view and before it refuses an unknown address, not for each packet.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -57,7 +57,7 @@
 }
 
 // newReplica opens the store and registers the replica that runs on it.
-func newReplica(lc fx.Lifecycle, s settings, config *tls.Config, applier replicator.Applier, registry *registrar.Registry, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) (*driver.Driver, error) {
+func newReplica(lc fx.Lifecycle, s settings, config *tls.Config, applier replicator.Applier, registry *registrar.Registry, counters *reporter.Counters, logger *slog.Logger) (*driver.Driver, error) {
 	store, state, err := storer.Open(s.storage())
 	if err != nil {
 		return nil, err
@@ -73,7 +73,7 @@
 	logger.Info("replica loaded", "name", s.Name, "identity", state.Identity, "is_new", state.IsNew, "entries", len(state.Entries))
 	replica, err := driver.New(driver.Options{
 		Settings: s.replication(), Store: store, State: state, Applier: applier,
-		Timer: clock, TLS: config, Counters: counters, Logger: logger,
+		Timer: timer.NewBootTime(), TLS: config, Counters: counters, Logger: logger,
 	})
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -72,8 +72,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	status  replicator.Status
+	mu     sync.Mutex
+	status replicator.Status
+	// notedAt is when status was taken.
+	notedAt time.Time
 	counts  replicator.Counts
 	applied uint64
 	// wasCurrent is what was last logged.
@@ -114,7 +116,7 @@
 		senders: make(map[netip.AddrPort]*buffer.Ring[replicator.Envelope]),
 		metrics: newMetrics(options.Counters),
 	}
-	d.status = machine.Status()
+	d.status, d.notedAt = machine.Status(), options.Timer.Now()
 	d.publish(options.Counters)
 	return d, nil
 }
@@ -336,7 +338,7 @@
 	status, counts := d.machine.Status(), d.machine.Counts()
 	d.mu.Lock()
 	before := d.status
-	d.status, d.counts = status, counts
+	d.status, d.counts, d.notedAt = status, counts, d.options.Timer.Now()
 	d.mu.Unlock()
 	if before.Role != status.Role && (before.Role == replicator.RoleLeader || status.Role == replicator.RoleLeader) || before.Leader != status.Leader {
 		d.options.Logger.Info("replica role", "role", status.Role, "term", status.Term, "leader", status.Leader)
@@ -363,13 +365,15 @@
 	}
 }
 
-// Status describes this replica.
+// Status describes this replica. After a pause of the process, what it knew of a leader
+// and its majority has run out before the replica takes its next step.
 func (d *Driver) Status() replicator.Status {
+	now := d.options.Timer.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.status
 	s.Applied, s.Failed = d.applied, d.failed
-	if d.failed != nil {
+	if d.failed != nil || now.Sub(d.notedAt) > d.options.Settings.ElectionTimeout {
 		s.HasQuorum = false
 	}
 	return s
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// ObserveAnswer, if set, gets the time from each request to the caller's first
 	// acknowledgement of its answer.
 	ObserveAnswer func(time.Duration)
+	// Clock, if set, also counts the time in which the VM was suspended. It is read for
+	// each view, and before an unknown address is refused.
+	Clock timer.Service
 }
 
 // Steerer decides about packets. It is safe for concurrent use.
@@ -36,8 +40,10 @@
 	directory *director.Directory
 	index     uint64
 	viewedAt  time.Time
-	selector  *selector
-	flows     map[flowKey]*flow
+	// confirmedAt is when control last confirmed the view, by Settings.Clock.
+	confirmedAt time.Time
+	selector    *selector
+	flows       map[flowKey]*flow
 }
 
 // New returns a Steerer without a view.
@@ -63,6 +69,9 @@
 		s.directory.Apply(change)
 	}
 	s.index, s.viewedAt = index, now
+	if s.settings.Clock != nil {
+		s.confirmedAt = s.settings.Clock.Now()
+	}
 	if complete {
 		s.selector.rebuild(s.directory, now)
 	} else {
@@ -135,7 +144,7 @@
 // refuseUnknown resets flows to an address without a route, unless the view may
 // be out of date.
 func (s *Steerer) refuseUnknown(p Packet, now time.Time) Verdict {
-	if now.Sub(s.viewedAt) > freshView {
+	if now.Sub(s.viewedAt) > freshView || s.settings.Clock != nil && s.settings.Clock.Now().Sub(s.confirmedAt) > freshView {
 		return Verdict{Reason: ReasonStaleView}
 	}
 	if p.IsReset {
--- a/entry/services/steerer/steerer_test.go
+++ b/entry/services/steerer/steerer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingledge/redwingledge/entry/services/steerer"
 	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
 var (
@@ -76,6 +77,15 @@
 		p.Destination = other
 		requireRefused(t, newSteerer(t).Decide(p, start.Add(time.Minute)), steerer.ActionDrop, steerer.ReasonStaleView)
 	})
+	t.Run("nor by one whose VM was suspended", func(t *testing.T) {
+		t.Parallel()
+		clock := timer.NewFake(start)
+		s := steerer.New(steerer.Settings{DataCentre: "a", MaxFlows: 10, Clock: clock}, rand.New(rand.NewPCG(1, 1)))
+		s.Update(1, []director.Change{director.VersionChanged{Version: 1}}, true, start)
+		requireRefused(t, s.Decide(opening(caller, 0), start), steerer.ActionReset, steerer.ReasonNoRoute)
+		clock.Advance(10 * time.Second)
+		requireRefused(t, s.Decide(opening(caller, 0), start), steerer.ActionDrop, steerer.ReasonStaleView)
+	})
 	t.Run("an opening packet without a backend server is refused at once", func(t *testing.T) {
 		t.Parallel()
 		requireRefused(t, newSteerer(t).Decide(opening(caller, 0), start), steerer.ActionReset, steerer.ReasonNoServer)
