Reset repeated requests to data centres that do not answer

Change: a request that its caller repeats is reset if it may be repeated, the data centre of its backend server has left opening packets of two backend servers unanswered, another one there has been silent within 2 s, none has answered since, and another data centre can serve it.

Figures: TestRequestsLeaveDeadDataCentre fails before and passes now; TestRequestsStayAtWorkingServers shows one dead backend server, slow ones, a lost packet after a return, and a region that is silent as a whole: no resets.

--- a/entry/services/steerer/flow.go
+++ b/entry/services/steerer/flow.go
@@ -64,19 +64,20 @@
 	delete(s.flows, key)
 }
 
-// follow notes a packet of an open flow.
-func (s *Steerer) follow(p Packet, server director.Server, now time.Time) {
+// follow notes a packet of an open flow, and returns the flow unless it has ended or is not
+// followed.
+func (s *Steerer) follow(p Packet, server director.Server, now time.Time) *flow {
 	key := keyOf(p)
 	if p.IsReset || p.IsFinal {
 		s.forget(key, now)
-		return
+		return nil
 	}
 	f, ok := s.flows[key]
 	if !ok || f.token != server.Token {
 		s.forget(key, now)
 		// Another entry carried the flow before, so nothing is known of its state.
 		if f = s.remember(key, flow{token: server.Token, isOpen: true, acknowledged: p.Acknowledged, seenAt: now}); f == nil {
-			return
+			return nil
 		}
 	}
 	f.seenAt = now
@@ -84,6 +85,7 @@
 	if p.HasData {
 		s.noteRequest(f, p, now)
 	}
+	return f
 }
 
 // noteAnswer notes what a caller acknowledges, which shows that the backend
@@ -117,7 +119,7 @@
 	}
 	if !f.isOverdue && now.Sub(f.requestedAt) >= evidenceAge {
 		f.isOverdue = true
-		s.selector.noteSilence(f.token, now)
+		s.selector.noteSilence(f.token, false, now)
 	}
 }
 
--- a/entry/services/steerer/packet.go
+++ b/entry/services/steerer/packet.go
@@ -65,6 +65,8 @@
 	ReasonOtherService
 	// ReasonServerGone is a packet to a backend server that has ended.
 	ReasonServerGone
+	// ReasonServerLost is a repeated request to a data centre that does not answer.
+	ReasonServerLost
 
 	reasonCount
 )
@@ -72,7 +74,7 @@
 // String returns the name of the reason in counters and logs.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone",
+		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone", "server_lost",
 	}
 	if r >= reasonCount {
 		return "unknown"
--- a/entry/services/steerer/reach.go
+++ b/entry/services/steerer/reach.go
@@ -13,6 +13,10 @@
 	// evidenceAge is the least time between a packet and its copy that speaks for silence.
 	// Copies that this process reads sooner have waited in its socket.
 	evidenceAge = 100 * time.Millisecond
+	// lostSignAge is how old the newest sign of another backend server may be for a data
+	// centre to count as lost. A data centre that is back has none, as callers do not meet
+	// its silence any more.
+	lostSignAge = 2 * time.Second
 )
 
 // reach notices that a data centre does not answer as a whole: it has lost power, or
@@ -24,12 +28,32 @@
 	// is the newest of them.
 	signs int
 	last  director.Token
+	// unopened counts those among them that left an opening packet unanswered, which they
+	// answer however many requests wait.
+	unopened     int
+	lastUnopened director.Token
+	// newest are the newest signs of two backend servers.
+	newest [2]sign
 	// until is when one new flow may try the data centre again.
 	until time.Time
 	holds int
 }
 
-func (r *reach) noteSilence(token director.Token, now time.Time) {
+// sign is a packet that a backend server has not answered in time.
+type sign struct {
+	token director.Token
+	at    time.Time
+}
+
+func (r *reach) noteSilence(token director.Token, isOpening bool, now time.Time) {
+	if isOpening && token != r.lastUnopened {
+		r.unopened++
+		r.lastUnopened = token
+	}
+	if token != r.newest[0].token {
+		r.newest[1] = r.newest[0]
+	}
+	r.newest[0] = sign{token: token, at: now}
 	if token != r.last {
 		r.signs++
 		r.last = token
@@ -56,6 +80,18 @@
 	return isCopy && r.signs > 0 || now.Before(r.until)
 }
 
+// isLost reports whether the data centre does not answer at all, judging by other backend
+// servers than the one with the token: some have left opening packets unanswered, another
+// one has just been silent, and none has answered since.
+func (r *reach) isLost(token director.Token, now time.Time) bool {
+	for _, s := range r.newest {
+		if s.token != 0 && s.token != token && now.Sub(s.at) <= lostSignAge {
+			return r.unopened >= reachSigns
+		}
+	}
+	return false
+}
+
 // noteChoice notes that a new flow goes to the data centre. While it looks silent, others
 // wait for what becomes of this one.
 func (r *reach) noteChoice(now time.Time) {
--- a/entry/services/steerer/reach_test.go
+++ b/entry/services/steerer/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -179,3 +180,134 @@
 		})
 	}
 }
+
+// outage is an entry with open flows at home, whose backend servers then fall silent.
+type outage struct {
+	t       *testing.T
+	s       *steerer.Steerer
+	servers map[int]director.Token
+	// works tells which backend servers answer.
+	works func(director.Token) bool
+	next  int
+}
+
+// outageFlows is the number of open flows, half of them on a route for requests that must not
+// be repeated.
+const outageFlows = 40
+
+func newOutage(t *testing.T) *outage {
+	t.Helper()
+	o := &outage{t: t, s: newSteerer(t, region("a", "b")...), servers: make(map[int]director.Token), next: 1000}
+	unsafe := director.Route{Address: unsafeRoute, Kind: director.KindUnsafe, Shares: []director.Share{{Service: "orders", Weight: 1}}}
+	safe := director.Route{Address: route, Kind: director.KindSafe, Shares: unsafe.Shares}
+	o.s.Update(2, []director.Change{director.RouteChanged{Route: safe}, director.RouteChanged{Route: unsafe}}, false, start)
+	for i := range outageFlows {
+		v := o.s.Decide(steerer.Packet{Source: from(i), Destination: o.routeOf(i), IsOpening: true}, start)
+		o.servers[i] = v.Server.Token
+		o.s.Decide(steerer.Packet{Source: from(i), Destination: o.routeOf(i), Token: v.Server.Token, Acknowledged: 1}, start)
+	}
+	return o
+}
+
+func (o *outage) routeOf(i int) netip.AddrPort {
+	if i%2 == 0 {
+		return route
+	}
+	return unsafeRoute
+}
+
+// open lets a new caller come, as others do all the time.
+func (o *outage) open(now time.Time) {
+	o.next++
+	call(o.t, o.s, o.next, now, o.works)
+}
+
+// request sends a request on an open flow and repeats it after 200 ms and 600 ms, if it is
+// not answered. It returns when the caller gets a reset, or 0.
+func (o *outage) request(i int, now time.Time) time.Duration {
+	p := steerer.Packet{Source: from(i), Destination: o.routeOf(i), Token: o.servers[i], HasData: true, Sequence: 1, Acknowledged: 1}
+	for _, at := range []time.Duration{0, firstCopy, secondCopy} {
+		if o.s.Decide(p, now.Add(at)).Action == steerer.ActionReset {
+			return at
+		}
+		if o.works(o.servers[i]) {
+			p.HasData, p.Acknowledged = false, 2
+			o.s.Decide(p, now.Add(at+time.Millisecond))
+			return 0
+		}
+	}
+	return 0
+}
+
+var unsafeRoute = netip.MustParseAddrPort("198.18.0.9:443")
+
+// Load: home loses power while callers wait on open flows, with deadlines of 3 s. Requests
+// that may be repeated must get their chance elsewhere in time; for others a reset would only
+// say that nobody knows.
+func TestRequestsLeaveDeadDataCentre(t *testing.T) {
+	t.Parallel()
+	o := newOutage(t)
+	o.works = func(token director.Token) bool { return token > reachServers }
+	now := start.Add(time.Second)
+	for range 3 {
+		o.open(now)
+		now = now.Add(700 * time.Millisecond)
+	}
+	for i := range outageFlows {
+		reset := o.request(i, now)
+		if o.routeOf(i) == unsafeRoute {
+			require.Zero(t, reset, "flow %d", i)
+		} else {
+			require.Equal(t, firstCopy, reset, "flow %d", i)
+		}
+		now = now.Add(650 * time.Millisecond)
+		o.open(now)
+	}
+}
+
+// Guards against resets of flows whose backend servers work.
+func TestRequestsStayAtWorkingServers(t *testing.T) {
+	t.Parallel()
+	t.Run("while one backend server at home is dead", func(t *testing.T) {
+		t.Parallel()
+		o := newOutage(t)
+		o.works = func(token director.Token) bool { return token != o.servers[0] }
+		for i := range outageFlows {
+			now := start.Add(time.Duration(1+i) * time.Second)
+			o.open(now)
+			require.Zero(t, o.request(i, now.Add(700*time.Millisecond)), "flow %d", i)
+		}
+	})
+	t.Run("while all are slow, but take new flows", func(t *testing.T) {
+		t.Parallel()
+		o := newOutage(t)
+		o.works = func(director.Token) bool { return true }
+		slow := *o
+		slow.works = func(director.Token) bool { return false }
+		for i := range outageFlows {
+			now := start.Add(time.Duration(1+i) * time.Second)
+			o.open(now)
+			require.Zero(t, slow.request(i, now.Add(100*time.Millisecond)), "flow %d", i)
+		}
+	})
+	t.Run("when one packet is lost after home has come back", func(t *testing.T) {
+		t.Parallel()
+		o := newOutage(t)
+		o.works = func(token director.Token) bool { return token > reachServers }
+		for i := range 3 {
+			o.open(start.Add(time.Duration(i) * 700 * time.Millisecond))
+		}
+		require.Zero(t, o.request(0, start.Add(10*time.Second)))
+	})
+	t.Run("while there is nowhere else to go", func(t *testing.T) {
+		t.Parallel()
+		o := newOutage(t)
+		o.works = func(director.Token) bool { return false }
+		now := start
+		for i := range outageFlows {
+			o.open(now)
+			now = now.Add(700 * time.Millisecond)
+			require.Zero(t, o.request(i, now), "flow %d", i)
+		}
+	})
+}
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -288,14 +288,14 @@
 }
 
 // noteSilence notes that a backend server has not answered a packet in time.
-func (s *selector) noteSilence(token director.Token, now time.Time) {
+func (s *selector) noteSilence(token director.Token, isOpening bool, now time.Time) {
 	b := s.backends[token]
 	if b == nil {
 		return
 	}
 	count := b.silence.count + 1
 	b.silence = silence{count: count, until: now.Add(holdAfter(count))}
-	b.reach.noteSilence(token, now)
+	b.reach.noteSilence(token, isOpening, now)
 	s.arrange(b, now)
 }
 
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -27,6 +27,8 @@
 	// ObserveAnswer, if set, gets the time from each request to the caller's first
 	// acknowledgement of its answer.
 	ObserveAnswer func(time.Duration)
+	// KeepSilentFlows leaves flows to silent data centres open; see shouldReset.
+	KeepSilentFlows bool
 	// Clock, if set, also counts the time in which the VM was suspended. It is read for
 	// each view, and before an unknown address is refused.
 	Clock timer.Service
@@ -137,7 +139,10 @@
 		}
 		return Verdict{Action: ActionReset, Reason: ReasonServerGone}
 	}
-	s.follow(p, server, now)
+	if f := s.follow(p, server, now); f != nil && p.HasData && s.shouldReset(route, f, server, now) {
+		s.forget(keyOf(p), now)
+		return Verdict{Action: ActionReset, Reason: ReasonServerLost}
+	}
 	return Verdict{Action: ActionForward, Server: server}
 }
 
@@ -164,7 +169,7 @@
 			return Verdict{Action: ActionForward, Server: server}
 		}
 		if tried = known.token; p.Copy > known.copies && now.Sub(known.seenAt) >= evidenceAge {
-			s.selector.noteSilence(tried, now)
+			s.selector.noteSilence(tried, true, now)
 		}
 		s.forget(key, now)
 	}
