Answer requests whose connections were accepted just before a stop

TestStopCutsNoRequestUnderLoad (48 callers that send without a pause and look at no probe) cut 1 request in 1 of 20 stops: the connection ended without an answer. http.Server closes a connection whose first request arrives after Shutdown has begun; TestFirstRequestAfterStopIsAnswered shows just that with Shutdown alone.

Change: shared/modules/drainer closes the listener, waits for connections with a request and, up to 1 s, for those without one yet, and then shuts down.

--- a/gateway/routers/server.go
+++ b/gateway/routers/server.go
@@ -17,6 +17,7 @@
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
 	"github.com/redwingledge/redwingledge/gateway/models/viewer"
 	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
+	"github.com/redwingledge/redwingledge/shared/modules/drainer"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
@@ -64,8 +65,7 @@
 	clock    timer.Service
 	counters *reporter.Counters
 	logger   *slog.Logger
-	listener net.Listener
-	http     *http.Server
+	http     *drainer.Server
 	draining atomic.Bool
 	open     atomic.Int64
 }
@@ -78,12 +78,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("bind the HTTP address: %w", err)
 	}
-	s := &Server{settings: settings, view: view, claims: claims, requests: requests, clock: clock, counters: counters, logger: logger, listener: listener}
+	s := &Server{settings: settings, view: view, claims: claims, requests: requests, clock: clock, counters: counters, logger: logger}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(config == nil)
-	s.http = &http.Server{
+	server := &http.Server{
 		Handler: s, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		HTTP2:    &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
 		ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
@@ -94,35 +94,25 @@
 		if !settings.MemberFromCertificate {
 			config.ClientAuth = tls.VerifyClientCertIfGiven
 		}
-		s.http.TLSConfig = config
+		server.TLSConfig = config
 	}
+	s.http = drainer.New(server, listener)
 	counters.Func("requests_open", func() any { return s.open.Load() })
 	return s, nil
 }
 
 // Addr returns the bound address.
-func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.http.Addr().String()) }
 
 // Serve serves callers until Shutdown is called.
-func (s *Server) Serve() error {
-	var err error
-	if s.http.TLSConfig != nil {
-		err = s.http.ServeTLS(s.listener, "", "")
-	} else {
-		err = s.http.Serve(s.listener)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve HTTP: %w", err)
-	}
-	return nil
-}
+func (s *Server) Serve() error { return s.http.Serve() }
 
 // Drain asks callers to close their connections after their next response. All
 // requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes idle connections and waits for the open requests until ctx
-// ends.
+// Shutdown waits for the open requests, and for the first ones on connections that were
+// accepted just before, until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("%d requests were cut at the stop: %w", s.open.Load(), err)
--- /dev/null
+++ b/gateway/routers/stop_test.go
@@ -0,0 +1,96 @@
+package routers_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// errCut reports a connection that ended after a request was sent, without an answer.
+var errCut = errors.New("the connection ended without an answer")
+
+// caller sends requests over connections that it keeps as long as it may, without looking at
+// a readiness probe.
+type caller struct {
+	gateway netip.AddrPort
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+// send sends a request and reads the answer. Errors are errCut and syscall.ECONNREFUSED.
+func (c *caller) send() error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.gateway.String(), 5*time.Second)
+		if err != nil {
+			return err
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	request := "GET /orders/x HTTP/1.1\r\nHost: a\r\n\r\n"
+	if _, err := io.WriteString(c.conn, request); err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err := errors.Join(err, resp.Body.Close()); err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	if resp.Close {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+	return nil
+}
+
+// Load: 48 callers send without a pause while the gateway stops. Each request that the
+// gateway's address has taken must be answered; connections are refused after that.
+func TestStopCutsNoRequestUnderLoad(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t)
+	b.slots.Store(64)
+	c := newCluster(t, 2, b)
+	var done sync.WaitGroup
+	var answered, cut atomic.Int64
+	for i := range 48 {
+		done.Go(func() {
+			caller := &caller{gateway: c.gateways[0].HTTPAddr()}
+			for {
+				err := caller.send()
+				switch {
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return
+				case errors.Is(err, errCut):
+					cut.Add(1)
+					t.Logf("caller %d: %v", i, err)
+					caller.conn = nil
+				case err != nil:
+					t.Errorf("caller %d: %v", i, err)
+					return
+				default:
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return answered.Load() > 200 }, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, c.gateways[0].Stop(ctx))
+	done.Wait()
+	require.Zero(t, cut.Load(), "of %d requests", cut.Load()+answered.Load())
+}
--- /dev/null
+++ b/shared/modules/drainer/server_test.go
@@ -0,0 +1,84 @@
+package drainer_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/modules/drainer"
+)
+
+// start returns a running server whose answers take the given time, and an open connection
+// to it.
+func start(t *testing.T, answer time.Duration) (*drainer.Server, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := drainer.New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(answer)
+		w.WriteHeader(http.StatusNoContent)
+	})}, listener)
+	go func() { _ = s.Serve() }()
+	conn, err := net.Dial("tcp", s.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return s, conn
+}
+
+func requireAnswer(t *testing.T, conn net.Conn) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusNoContent, resp.StatusCode)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// Guards against a request that is cut off because its connection was accepted just before
+// the stop.
+func TestFirstRequestAfterStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	s, conn := start(t, 0)
+	time.Sleep(20 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err := io.WriteString(conn, request)
+	require.NoError(t, err)
+	requireAnswer(t, conn)
+	require.NoError(t, <-stopped)
+}
+
+func TestOpenRequestIsAnswered(t *testing.T) {
+	t.Parallel()
+	s, conn := start(t, 200*time.Millisecond)
+	_, err := io.WriteString(conn, request)
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, s.Shutdown(t.Context()))
+	requireAnswer(t, conn)
+}
+
+// Guards against a stop that waits for ever for a caller that never sends.
+func TestSilentConnectionEndsTheWait(t *testing.T) {
+	t.Parallel()
+	s, _ := start(t, 0)
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	ctx := t.Context()
+	go func() { _ = s.Shutdown(ctx) }()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", s.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, time.Second, time.Millisecond, "new connections are refused at once")
+	require.Less(t, time.Since(began), time.Second)
+}
