Let a replica that alone reaches a majority be elected

A replica that grants a pre-vote puts its own election off, so that replicas rarely compete.

Change: a replica gives way three times without hearing a leader, and then asks for votes itself.

--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -10,6 +10,11 @@
 // voted without remembering it.
 var voteBlocked = storer.Identity{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}
 
+// maxGivenWay bounds how often a replica puts its own election off for others without
+// hearing a leader. Those that reach too few replicas to be elected ask again and again, and
+// this one may be the only one that reaches enough.
+const maxGivenWay = 3
+
 // startElection asks the other voters for votes. With pre it first asks whether
 // they would vote, so that a replica that was cut off does not raise the term.
 // With handedOver the present leader gives way.
@@ -70,9 +75,10 @@
 	}
 	if req.Pre {
 		granted := m.verification.done && req.Term > m.term && m.isUpToDate(req.LastIndex, req.LastTerm)
-		if granted && (m.role == RoleFollower || m.role == RolePreCandidate && slices.Compare(from[:], m.id[:]) < 0) {
+		if granted && m.givenWay < maxGivenWay && (m.role == RoleFollower || m.role == RolePreCandidate && slices.Compare(from[:], m.id[:]) < 0) {
 			// Of two replicas that ask at the same time, one gives way.
 			m.role = RoleFollower
+			m.givenWay++
 			m.hastenElection()
 		}
 		m.send(from, &VoteResponse{Pre: true, Term: m.term, For: req.Term, Granted: granted})
--- a/control/services/replicator/following.go
+++ b/control/services/replicator/following.go
@@ -17,7 +17,7 @@
 		// The leader may have committed more during the silence.
 		m.caughtUp = 0
 	}
-	m.leaderSeen = m.now
+	m.leaderSeen, m.givenWay = m.now, 0
 	m.resetElection()
 	return true
 }
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -53,6 +53,7 @@
 func (m *Machine) startLeading() {
 	m.role, m.leader, m.leaderSeen, m.caughtUp = RoleLeader, m.id, m.now, 0
 	m.counts.TermsLed++
+	m.givenWay = 0
 	m.leading = &leading{
 		start:    m.log.last() + 1,
 		progress: make(map[storer.Identity]*progress),
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -145,6 +145,8 @@
 	electionAt time.Time
 	voteUntil  time.Time
 	votes      map[storer.Identity]bool
+	// givenWay counts how often this replica put its own election off since it heard a leader.
+	givenWay int
 
 	verification verification
 	admitted     Admit
