--- a/entry/services/steerer/backend.go
+++ b/entry/services/steerer/backend.go
@@ -30,7 +30,10 @@
 // backend is what an entry knows of the load of one start of a backend server.
 type backend struct {
 	leveller.Position
-	token           director.Token
+	token  director.Token
+	server director.Server
+	// generation is that of the last whole view that had the backend server.
+	generation      uint64
 	slots           int
 	flows, requests int
 	silence         silence
--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -44,6 +44,8 @@
 	takenOut   map[string]bool
 	// cold holds the backend servers that are in a cold start.
 	cold map[director.Token]*backend
+	// generation counts the whole views.
+	generation uint64
 }
 
 func newSelector(name, dataCentre string, rng *rand.Rand) *selector {
@@ -53,19 +55,23 @@
 	}
 }
 
-// rebuild takes over all backend servers of a view.
+// rebuild takes over all backend servers of a view. Those that are as before cost little, as
+// packets wait meanwhile.
 func (s *selector) rebuild(directory *director.Directory, now time.Time) {
 	clear(s.takenOut)
 	for _, name := range directory.TakenOut() {
 		s.takenOut[name] = true
 	}
-	known := make(map[director.Token]bool)
-	for _, server := range directory.Servers() {
-		known[server.Token] = true
-		s.place(directory, server, now)
+	s.generation++
+	for server := range directory.EachServer() {
+		b := s.backends[server.Token]
+		if b == nil || b.server != server || server.IsCold() {
+			b = s.place(directory, server, now)
+		}
+		b.generation = s.generation
 	}
-	for token := range s.backends {
-		if !known[token] {
+	for token, b := range s.backends {
+		if b.generation != s.generation {
 			s.forget(token)
 		}
 	}
@@ -98,7 +104,7 @@
 }
 
 // place puts a backend server among those of its service that may get new flows.
-func (s *selector) place(directory *director.Directory, server director.Server, now time.Time) {
+func (s *selector) place(directory *director.Directory, server director.Server, now time.Time) *backend {
 	b := s.backends[server.Token]
 	if b == nil {
 		b = &backend{token: server.Token}
@@ -109,7 +115,7 @@
 	if b.group != nil {
 		b.group.remove(b)
 	}
-	b.slots = max(server.Slots, 1)
+	b.server, b.slots = server, max(server.Slots, 1)
 	b.reach = s.reachOf(server.DataCentre)
 	s.updateTurns(directory, b, server, now)
 	p := s.pools[server.Service]
@@ -126,9 +132,10 @@
 	case director.StateLapsed:
 		b.group = s.groupOf(p.lapsed, server.DataCentre)
 	case director.StateDraining, director.StateGone:
-		return
+		return b
 	}
 	b.group.arrange(b, b.isPlain(now))
+	return b
 }
 
 func (s *selector) reachOf(dataCentre string) *reach {
--- a/entry/services/steerer/selector_test.go
+++ b/entry/services/steerer/selector_test.go
@@ -67,12 +67,31 @@
 			for _, change := range changes {
 				directory.Apply(change)
 			}
-			s.update(directory, changes, viewStart)
+			if rng.IntN(20) == 0 {
+				s.rebuild(directory, viewStart)
+			} else {
+				s.update(directory, changes, viewStart)
+			}
 			requireSameCandidates(t, s, directory, services)
 		}
 	}
 }
 
+// Measures what a whole view of 3,900 backend servers costs an entry.
+func BenchmarkRebuild(b *testing.B) {
+	const servers = 3900
+	directory := director.NewDirectory()
+	for i := range servers {
+		directory.Apply(director.ServerChanged{Server: director.Server{
+			Token: director.Token(i + 1), Service: fmt.Sprint("service-", i%2), DataCentre: fmt.Sprint("dc-", i%6), Slots: 2, State: director.StateReady,
+		}})
+	}
+	s := newSelector("entry-1", "dc-0", rand.New(rand.NewPCG(1, 1)))
+	for b.Loop() {
+		s.rebuild(directory, viewStart)
+	}
+}
+
 // Measures what one changed backend server costs an entry that follows 3,900.
 func BenchmarkUpdate(b *testing.B) {
 	const servers = 3900
--- a/entry/services/steerer/steerer.go
+++ b/entry/services/steerer/steerer.go
@@ -59,16 +59,25 @@
 // Update carries out changes that lead to index. With complete, they replace the
 // whole view.
 func (s *Steerer) Update(index uint64, changes []director.Change, complete bool, now time.Time) {
+	var whole *director.Directory
+	if complete {
+		// Packets need not wait for this.
+		whole = director.NewDirectory()
+		for _, change := range changes {
+			whole.Apply(change)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if index < s.index {
 		return
 	}
 	if complete {
-		s.directory = director.NewDirectory()
-	}
-	for _, change := range changes {
-		s.directory.Apply(change)
+		s.directory = whole
+	} else {
+		for _, change := range changes {
+			s.directory.Apply(change)
+		}
 	}
 	s.index, s.viewedAt = index, now
 	if s.settings.Clock != nil {
--- a/shared/models/director/directory.go
+++ b/shared/models/director/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
@@ -86,6 +87,9 @@
 	return s, ok
 }
 
+// EachServer returns all backend servers in any order.
+func (d *Directory) EachServer() iter.Seq[Server] { return maps.Values(d.servers) }
+
 // Servers returns all backend servers, sorted by token.
 func (d *Directory) Servers() []Server {
 	servers := make([]Server, 0, len(d.servers))
