Ask for votes more often after a start without a leader

Cause: after a common loss of power the first replicas ask for pre-votes before a majority is there, and again only after 150 to 450 ms. Callers wait for entries that wait for the leader.

Change: for 4 election timeouts after its start, a replica that has heard no leader asks every 25 to 75 ms. Pre-votes disturb nobody.

--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -29,7 +29,11 @@
 	term := m.term + 1
 	if pre {
 		m.role = RolePreCandidate
-		m.hastenElection()
+		if m.isFirstElection() {
+			m.hastenFirstElection()
+		} else {
+			m.hastenElection()
+		}
 	} else {
 		m.role = RoleCandidate
 		// The votes must be stored by others before they arrive.
@@ -48,6 +52,12 @@
 	m.countVotes()
 }
 
+// isFirstElection reports that this replica has just started and heard no leader yet. Others
+// may start at any moment, and their votes are wanted at once.
+func (m *Machine) isFirstElection() bool {
+	return m.leaderSeen.Before(m.started) && m.now.Sub(m.started) < firstElectionPeriods*m.settings.ElectionTimeout
+}
+
 // isUpToDate reports whether a log with the given end holds everything that
 // this replica may have acknowledged.
 func (m *Machine) isUpToDate(index, term uint64) bool {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -97,9 +97,12 @@
 const (
 	// hastePart divides the election timeout where an election may begin early.
 	hastePart = 3
-	// firstHastePart does so for the first election after a start: 50 ms to 150 ms of
-	// 900 ms.
-	firstHastePart = 9
+	// firstHastePart does so for the first election after a start: 25 ms to 75 ms of
+	// 900 ms, several round trips between data centres.
+	firstHastePart = 18
+	// firstElectionPeriods is the number of election timeouts after a start in which a
+	// replica that has heard no leader asks for votes that often.
+	firstElectionPeriods = 4
 )
 
 type membershipAt struct {
--- a/control/services/replicator/open_test.go
+++ b/control/services/replicator/open_test.go
@@ -201,6 +201,55 @@
 	require.LessOrEqual(t, late, allowedLate)
 }
 
+// startStaggered starts all replicas within a time and returns how long after a majority of
+// the voters there is a leader.
+func (w *world) startStaggered(within time.Duration) time.Duration {
+	offsets := make([]time.Duration, len(w.nodes))
+	for i := range offsets {
+		offsets[i] = time.Duration(w.rng.Int64N(int64(within)))
+	}
+	slices.Sort(offsets)
+	began, since, up, started := w.now, time.Duration(0), 0, 0
+	for w.now < began+within+3*time.Second {
+		for ; started < len(w.nodes) && began+offsets[started] <= w.now; started++ {
+			n := w.nodes[started]
+			w.start(n)
+			if membership := n.machine.membership(); membership.IsVoter(n.disk.id) {
+				if up++; up == membership.Voters()/2+1 {
+					since = w.now
+				}
+			}
+		}
+		w.run(tickPeriod)
+		if lead := w.leader(); lead != nil && lead.machine.hasFreshQuorum() {
+			return w.now - since
+		}
+	}
+	return time.Hour
+}
+
+// Load: all replicas lose power and come back one after the other, while callers wait for
+// entries that wait for a leader. It must be there a sixth of an election timeout, 150 ms of
+// 900 ms, after a majority in 95 of 100 cases.
+func TestLeaderSoonAfterMajority(t *testing.T) {
+	t.Parallel()
+	const cases, allowedLate = 100, 5
+	late := 0
+	for seed := range uint64(cases) {
+		w := newOpenWorld(seed, 4)
+		require.True(t, w.settle(20*time.Second), w.describe())
+		w.settings.Bootstrap = false
+		for _, n := range w.nodes {
+			w.kill(n)
+		}
+		w.run(time.Second)
+		if w.startStaggered(w.settings.ElectionTimeout/2) > w.settings.ElectionTimeout/6 {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, allowedLate)
+}
+
 // Guards against control that stops in an even split: with an odd number of
 // voters, one half goes on.
 func TestEvenSplitGoesOn(t *testing.T) {
