Enlist entries at once, and let announcements pass them

Cause: at the start of 300 VMs the ring of changes to the leader held 4,096 requests to enlist the same 294 entries, which pushed one at each poll, and backend servers were refused ("4096 commands already wait", 15 times on the start of the large deployment). The leader enlisted one entry after the other, a commit each, before it looked at the announcements of the same batch.

Change: an entry waits once, however often it polls. Announcements of a batch are committed first; entries are proposed at once, and nobody waits for them.

TestEntriesLeaveRoomForAnnouncements and TestAnnouncementsDoNotWaitForEntries fail before and pass now.

A failed enlistment is a debug line now, as the next poll asks again.

--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -119,9 +119,33 @@
 }
 
 // Enlist lets the leader add an entry to those that share the rate of cold backend
-// servers. It does not wait. It returns false if too much waits already.
+// servers. It does not wait. It returns false if too much waits already. An entry waits once,
+// however often it polls, so that entries leave room for announcements.
 func (s *Service) Enlist(entry string) bool {
-	return s.machine().IsEnlisted(entry) || s.submissions.TryPush(newcomer{entry: entry})
+	if s.machine().IsEnlisted(entry) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.enlisting[entry]; ok {
+		return true
+	}
+	if !s.submissions.TryPush(newcomer{entry: entry}) {
+		return false
+	}
+	s.enlisting[entry] = struct{}{}
+	return true
+}
+
+// endEnlisting lets entries wait to be enlisted again, if they still must be.
+func (s *Service) endEnlisting(batch []submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range batch {
+		if n, ok := item.(newcomer); ok {
+			delete(s.enlisting, n.entry)
+		}
+	}
 }
 
 // noteRenewal renews a lease on the leader, and keeps it for the next report on others.
@@ -161,6 +185,7 @@
 
 // forward hands a batch to the leader and tells those that wait.
 func (s *Service) forward(ctx context.Context, batch []submission) {
+	defer s.endEnlisting(batch)
 	var registration Registration
 	var waiting []announced
 	for _, item := range batch {
@@ -220,12 +245,12 @@
 		return nil, err
 	}
 	s.renew(r.Renewed)
-	for _, entry := range r.Entries {
-		if err := s.enlist(ctx, entry); err != nil {
-			return nil, err
-		}
+	result, err := s.register(ctx, r.Announcements)
+	if err != nil {
+		return nil, err
 	}
-	return s.register(ctx, r.Announcements)
+	s.enlistAll(ctx, r.Entries)
+	return result, nil
 }
 
 func (s *Service) renew(tokens []director.Token) {
@@ -240,13 +265,28 @@
 	}
 }
 
-func (s *Service) enlist(ctx context.Context, entry string) error {
+// enlistAll proposes entries at once, as each commit takes a round trip, and does not wait:
+// announcements of the same registration are answered. Entries that are not enlisted in time
+// ask again with their next poll.
+func (s *Service) enlistAll(ctx context.Context, entries []string) {
+	for _, entry := range entries {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), registerTimeout)
+			defer cancel()
+			s.enlist(ctx, entry)
+		}()
+	}
+}
+
+func (s *Service) enlist(ctx context.Context, entry string) {
 	if s.machine().IsEnlisted(entry) {
-		return nil
+		return
+	}
+	if err := s.propose(ctx, Enlist{Entry: entry}); err != nil {
+		s.logger.Debug("entry not enlisted; its next poll asks again", "entry", entry, log.FieldError, err)
+		return
 	}
-	err := s.propose(ctx, Enlist{Entry: entry})
-	s.logger.Info("entry enlisted", "entry", entry, log.FieldError, err)
-	return err
+	s.logger.Info("entry enlisted", "entry", entry)
 }
 
 // register commits the announcements that change the state, as one command.
--- a/control/services/director/registration_test.go
+++ b/control/services/director/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -154,6 +155,54 @@
 	require.Less(t, len(p.link.registrations), hosts/4)
 }
 
+// Load: 300 entries poll again and again while the leader cannot enlist them, as when a large
+// deployment starts. Backend servers must still be heard.
+func TestEntriesLeaveRoomForAnnouncements(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	s := NewService(Settings{Lease: lease, MinVoters: 3}, f.replica, func() *Machine { return f.replica.machine }, nil, f.clock, discard.Discard())
+	for range 100 {
+		for i := range 300 {
+			require.True(t, s.Enlist(fmt.Sprint("entry-", i)))
+		}
+	}
+	require.Equal(t, 300, s.submissions.Len())
+	// Once the leader has failed to enlist them, their polls ask again.
+	batch := make([]submission, 300)
+	s.forward(t.Context(), batch[:s.submissions.PopBatch(batch)])
+	require.True(t, s.Enlist("entry-0"))
+}
+
+// stalledEnlisting is a replica that commits everything but entries.
+type stalledEnlisting struct{ *replica }
+
+func (r stalledEnlisting) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if c, err := decode(command); err == nil {
+		if _, ok := c.(Enlist); ok {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
+	return r.replica.Propose(ctx, command)
+}
+
+// Load: hundreds of entries are enlisted while backend servers announce themselves. An
+// announcement must not wait for the entries of its batch.
+func TestAnnouncementsDoNotWaitForEntries(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.declare()
+	s := NewService(Settings{Lease: lease, MinVoters: 3}, stalledEnlisting{f.replica}, func() *Machine { return f.replica.machine }, nil, f.clock, discard.Discard())
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	result, err := s.Register(ctx, &Registration{
+		Entries: []string{"entry-1", "entry-2"}, Announcements: announce("h1", addressA, 100, 1, false).Announcements,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Refusals)
+	f.requireState(1, director.StateReady)
+}
+
 // Guards against backend servers that are refused while a leader is elected: thousands of
 // them would ask one replica after the other.
 func TestAnnouncementsWaitForCurrentReplica(t *testing.T) {
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -62,6 +62,8 @@
 	// unreportedSince when reports to the leader began to fail.
 	renewed         map[director.Token]struct{}
 	unreportedSince time.Time
+	// enlisting holds the entries that wait in submissions.
+	enlisting map[string]struct{}
 }
 
 // NewService returns a Service. The machine may change when the replica restarts.
@@ -70,7 +72,7 @@
 		settings: settings, replica: replica, machine: machine, leader: leader, clock: clock, logger: logger,
 		submissions: buffer.NewRing[submission](submissionCapacity), current: newGate(clock),
 		leases: make(map[director.Token]time.Time), ended: make(map[director.Token]time.Time),
-		renewed: make(map[director.Token]struct{}),
+		renewed: make(map[director.Token]struct{}), enlisting: make(map[string]struct{}),
 	}
 }
 
--- a/control/services/director/service_test.go
+++ b/control/services/director/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,11 +21,14 @@
 // replica commits at once, unless it does not lead.
 type replica struct {
 	machine *Machine
+	mu      sync.Mutex
 	index   uint64
 	status  replicator.Status
 }
 
 func (r *replica) Propose(_ context.Context, command []byte) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.index++
 	return r.machine.Apply(r.index, command)
 }
