Drop an unused field of a choice

Cause: a reading of the diff. Change: attempt carries no service any more. Conclusion: no change of behaviour.

--- a/entry/services/steerer/selector.go
+++ b/entry/services/steerer/selector.go
@@ -193,7 +193,6 @@
 
 // attempt is what a choice is for.
 type attempt struct {
-	service string
 	// tried is the backend server that an earlier copy of the opening packet went to, or
 	// nil. It is used only if there is no other.
 	tried *backend
@@ -224,7 +223,7 @@
 // pick returns the token of the least loaded backend server of a service, or 0.
 // The one that was tried before is used only if there is no other.
 func (s *selector) pick(service string, tried director.Token, now time.Time) director.Token {
-	a := attempt{service: service, tried: s.backends[tried], now: now}
+	a := attempt{tried: s.backends[tried], now: now}
 	groups := s.groups(service)
 	var best choice
 	left := maxLooked
