Ask an entry that leaves for its flows, and wait for late answers about UDP

Cause: ./demo.sh broke two flows again. After its logs a test was written that opens flows within 30 ms before one of two entries is restarted, while backend servers ramp and both processes stand still at times.

Change: entries that leave or start again are asked when there is no other owner. Packets of unknown UDP flows are dropped, and not guessed, while a peer that has not answered has been silent for less than 1 s.

Conclusion: both are faults of the product's own entry. That they broke the two flows of the demonstration is likely and not shown, so that it stays listed.

--- a/entry/services/placer/asker.go
+++ b/entry/services/placer/asker.go
@@ -78,7 +78,7 @@
 // ask holds a packet until peers have answered whether they know its flow.
 func (m *Machine) ask(svc *service, packet Packet, scope askScope) Decision {
 	next := m.ownerBut(svc, packet.Flow, self)
-	if next == none {
+	if next == none && (scope == askOwner || !m.hasFormerOwner(svc)) {
 		return m.placeUnknown(svc, packet)
 	}
 	a := &m.asks
@@ -100,6 +100,12 @@
 	return holdUntil(a.nextTicket)
 }
 
+// hasFormerOwner reports whether an entry that leaves or starts again may know a flow,
+// although it owns none now. With two entries, the one that stays has no other to ask.
+func (m *Machine) hasFormerOwner(svc *service) bool {
+	return slices.ContainsFunc(svc.members, func(i uint16) bool { return !m.entries[i].isReady && m.entries[i].standing != 0 })
+}
+
 // flowsPerQuery keeps a query under about 1,200 bytes.
 const flowsPerQuery = 140
 
@@ -270,11 +276,34 @@
 	a.spare = append(a.spare, f)
 }
 
-// dropUnsure drops the packets of open flows that a peer which has not answered in time
+// datagramPatience is how long a silent peer may know a flow of UDP, of which nobody can tell
+// whether it is new: longer than a busy machine lets a process wait, and well below the time
+// after which a dead peer leaves the members.
+const datagramPatience = time.Second
+
+// noteUnanswered notes which peers have not answered a query, and returns whether one of them
+// is alive, and whether one has been silent for a short time only.
+func (m *Machine) noteUnanswered(q *query) (isAlive, isPatient bool) {
+	for _, i := range q.waiting {
+		e := &m.entries[i]
+		if !e.isLive {
+			continue
+		}
+		if e.silentSince.IsZero() {
+			e.silentSince = q.deadline.Add(-m.config.QueryLimit)
+		}
+		isAlive = true
+		isPatient = isPatient || m.now.Sub(e.silentSince) < datagramPatience
+	}
+	return isAlive, isPatient
+}
+
+// dropUnsure drops the packets of flows that a peer which has not answered in time
 // may know. The caller sends them again, and a guess would end the flow. A peer that is
 // dead leaves the members within seconds.
 func (m *Machine) dropUnsure(q *query) {
-	if !slices.ContainsFunc(q.waiting, func(i uint16) bool { return m.entries[i].isLive }) {
+	isAlive, isPatient := m.noteUnanswered(q)
+	if !isAlive {
 		return
 	}
 	for _, flow := range q.flows {
@@ -282,7 +311,7 @@
 		if f == nil || m.cache.Lookup(flow, m.sec) != nil {
 			continue
 		}
-		if packet := f.tickets[0].packet; packet.Protocol != ProtocolTCP || packet.isSYN() {
+		if packet := f.tickets[0].packet; packet.isSYN() || packet.Protocol != ProtocolTCP && !isPatient {
 			continue
 		}
 		delete(m.asks.flows, flow)
--- a/entry/services/placer/failure_test.go
+++ b/entry/services/placer/failure_test.go
@@ -168,3 +168,45 @@
 		})
 	}
 }
+
+// failedRamp are seeds that broke a flow. 10, 60, 84, 86: with two entries, the one that
+// stayed did not ask the one that left, as it owned nothing any more, and guessed. 418: an
+// entry guessed where a flow of UDP was while the one that knew it stood still for 0.1 s.
+var failedRamp = []uint64{10, 60, 84, 86, 418}
+
+// Load: many flows begin within 30 ms before one of two entries is restarted, after a drain
+// and while backend servers ramp, on a busy machine. The demonstration does just that.
+func TestRestartWhileServersRampBreaksNoFlow(t *testing.T) {
+	for _, seed := range seeds(t, 10, failedRamp...) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(seed, 2)
+			n.hold, n.gaps = time.Second, []time.Duration{20 * time.Millisecond}
+			ramp := func(first int, step uint8) {
+				for i := first; i < 4; i++ {
+					n.setBackend(0, i, announcer.StateReady, step)
+				}
+			}
+			ramp(0, 1)
+			n.run(8 * time.Second)
+			n.drain(0)
+			n.run(1900 * time.Millisecond)
+			ramp(1, 2)
+			n.run(700*time.Millisecond + n.within(500*time.Millisecond))
+			n.openFlows(1500, 30*time.Millisecond, 15*time.Second)
+			n.run(40 * time.Millisecond)
+			n.stopEntry(n.nodes[0])
+			n.after(3100*time.Millisecond, func() { n.startEntry(n.nodes[0]) })
+			n.after(3900*time.Millisecond, func() { ramp(1, 3) })
+			for at := time.Duration(0); at < 9*time.Second; at += 250 * time.Millisecond {
+				e := n.nodes[n.rng.IntN(2)]
+				n.after(at, func() { e.frozenUntil = n.now.Add(n.within(150 * time.Millisecond)) })
+			}
+			n.run(15 * time.Second)
+			report(t, n, seed)
+			if n.broken > 0 {
+				t.Errorf("%d broken flows, want 0; rerun with PLACER_SEED=%d", n.broken, seed)
+			}
+		})
+	}
+}
--- a/entry/services/placer/machine.go
+++ b/entry/services/placer/machine.go
@@ -90,6 +90,9 @@
 	// standing is the sequence of the newest Standing, 0 if none came.
 	standing uint64
 	askedAt  time.Time
+	// silentSince is when the oldest query was sent since the entry's last message, if one
+	// was not answered in time.
+	silentSince time.Time
 	// transferred holds the services whose transfer is complete.
 	transferred map[uint16]bool
 	// copies and hints wait for the next Placements message.
--- a/entry/services/placer/step.go
+++ b/entry/services/placer/step.go
@@ -140,6 +140,7 @@
 		// Only live members take part. A sender that is not known yet repeats itself.
 		return
 	}
+	m.entries[from].silentSince = time.Time{}
 	switch msg := message.(type) {
 	case messenger.Placements:
 		m.receivePlacements(from, msg)
