Give tests ports that no connection takes meanwhile

The replicas' tests choose their addresses in the same way.

Change: both choose ports from 15,000 on, below that range (32,768 on).

That the failure is gone is argued from its message, not from many runs.

Conclusion: a fault of the tests, not of the programs; no check has changed.

--- a/control/services/driver/driver_test.go
+++ b/control/services/driver/driver_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -112,12 +113,24 @@
 	return r
 }
 
+// listenBelow binds a free port below those that the kernel gives to connections of other
+// tests, so that it is still free when a replica binds it.
+func listenBelow(t testing.TB) net.Listener {
+	t.Helper()
+	for range 100 {
+		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15_000+rand.IntN(10_000))); err == nil {
+			return listener
+		}
+	}
+	require.FailNow(t, "no port is free")
+	return nil
+}
+
 func newPeers(t testing.TB, n int) []replicator.Peer {
 	t.Helper()
 	peers := make([]replicator.Peer, n)
 	for i := range peers {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+		listener := listenBelow(t)
 		peers[i] = replicator.Peer{Name: fmt.Sprint("r", i), Address: netip.MustParseAddrPort(listener.Addr().String())}
 		defer func() { _ = listener.Close() }()
 	}
--- a/entry/routers/peers/peers_test.go
+++ b/entry/routers/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -22,13 +23,19 @@
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port is below those
+// that the kernel gives to connections of other tests.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15_000+rand.IntN(10_000)))
+		if err == nil {
+			require.NoError(t, l.Close())
+			return netip.MustParseAddrPort(l.Addr().String())
+		}
+	}
+	require.FailNow(t, "no port is free")
+	return netip.AddrPort{}
 }
 
 func serve(t *testing.T, addr netip.AddrPort, config *tls.Config, service *transporter.Service) {
