Judge a data centre by opening packets alone

Change: only opening packets count against a data centre, as backend servers answer them however many requests wait. Requests without an answer still keep the evidence fresh.

--- a/entry/services/steerer/reach.go
+++ b/entry/services/steerer/reach.go
@@ -24,15 +24,12 @@
 // backend servers one by one, 200 ms each, until their leases expire. Open flows are not
 // affected, and an answer of any backend server ends it.
 type reach struct {
-	// signs counts the backend servers that were silent since the last answer, and last
-	// is the newest of them.
+	// signs counts the backend servers that left an opening packet unanswered since the last
+	// answer, and last is the newest of them. They answer one however many requests wait, so
+	// that requests without an answer in time show load and not silence.
 	signs int
 	last  director.Token
-	// unopened counts those among them that left an opening packet unanswered, which they
-	// answer however many requests wait.
-	unopened     int
-	lastUnopened director.Token
-	// newest are the newest signs of two backend servers.
+	// newest are the newest signs of two backend servers, of requests too.
 	newest [2]sign
 	// until is when one new flow may try the data centre again.
 	until time.Time
@@ -46,14 +43,13 @@
 }
 
 func (r *reach) noteSilence(token director.Token, isOpening bool, now time.Time) {
-	if isOpening && token != r.lastUnopened {
-		r.unopened++
-		r.lastUnopened = token
-	}
 	if token != r.newest[0].token {
 		r.newest[1] = r.newest[0]
 	}
 	r.newest[0] = sign{token: token, at: now}
+	if !isOpening {
+		return
+	}
 	if token != r.last {
 		r.signs++
 		r.last = token
@@ -86,7 +82,7 @@
 func (r *reach) isLost(token director.Token, now time.Time) bool {
 	for _, s := range r.newest {
 		if s.token != 0 && s.token != token && now.Sub(s.at) <= lostSignAge {
-			return r.unopened >= reachSigns
+			return r.signs >= reachSigns
 		}
 	}
 	return false
--- a/entry/services/steerer/reach_test.go
+++ b/entry/services/steerer/reach_test.go
@@ -134,6 +134,20 @@
 	require.Equal(t, steerer.ActionForward, s.Decide(opening(from(900), 0), start.Add(time.Second)).Action)
 }
 
+// Load: after a common loss of power all callers come back at once, and requests at home wait
+// for longer than callers do before they repeat them. Flows must not leave home for others
+// that are as busy.
+func TestBusyHomeIsNotSilent(t *testing.T) {
+	t.Parallel()
+	o := newOutage(t)
+	o.works = func(director.Token) bool { return false }
+	for i := range outageFlows {
+		o.request(i, start.Add(time.Second))
+	}
+	v := o.s.Decide(opening(from(900), 0), start.Add(1700*time.Millisecond))
+	require.LessOrEqual(t, v.Server.Token, director.Token(reachServers), "home")
+}
+
 // Guards against suspicion after a pause of this process: the opening packets and their
 // copies wait in the socket and are read at once.
 func TestPauseIsNoSilence(t *testing.T) {
