Show that a check-in with a field missing ends a live host

The case: another writer sends one check-in without the field version. It names the address of a live host under another id. PROTOCOL.md says that such a check-in names no host to use and that the others hold. It is acknowledged, the live host counts as ended, its open flows are reset by the system, and its own check-ins are refused with 409.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 )
 
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) error{
+	"other-writer":        otherWriter,
 	"replaced-then-wiped": replacedThenWiped,
 }
 
