Show that a late DELETE ends the next lifetime of a host

The DELETE of the lifetime before ends the one that serves by then: its flows are reset, and its check-ins are refused.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) error{
 	"other-writer":        otherWriter,
+	"late-delete":         lateDelete,
 	"replaced-then-wiped": replacedThenWiped,
 }
 
