Show that a draining host gets flows once its lease has expired

The case: both hosts of a service drain and are cut off from all machines for 5.5 s. Their leases expire, which replaces the state draining; until their next check-in the entries open new flows to them, as the service has no other hosts.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) error{
 	"other-writer":        otherWriter,
 	"late-delete":         lateDelete,
+	"lapsed-drain":        lapsedDrain,
 	"replaced-then-wiped": replacedThenWiped,
 }
 
