Show the end of control also without a planned replacement

The second form of case 1, PLAN=0: the machine that leads is killed for good, its successor starts at that moment, and the machine that acknowledges the next version loses its disk 4.05 s later, after catch-up-s by any reading of DEPLOY.md.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
-# the disruption out.
+# the disruption out. With PLAN=0 the machine is killed for good instead of replaced as planned.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
@@ -10,4 +10,6 @@
 fi
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec timeout -k 5 115 target/review/standin -case replaced-then-wiped -trouble="$trouble" -folder "$folder"
+case=replaced-then-wiped
+[ "${PLAN:-1}" = 0 ] && case=killed-then-wiped
+exec timeout -k 5 115 target/review/standin -case "$case" -trouble="$trouble" -folder "$folder"
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -86,11 +86,11 @@
 func (w *world) dataFolder(v *vm) string { return filepath.Join(w.temp, v.name+"-data") }
 
 // addControl starts a further control machine with an empty disk.
-func (w *world) addControl(zone string) (*vm, error) {
+func (w *world) addControl(zone string) error {
 	v := &vm{name: "core-" + zone + "-2", zone: zone, role: "control", address: w.address(2, len(w.cores)+1), isNew: true}
 	w.cores = append(w.cores, v)
 	w.logf("machine %s (%s) starts with an empty disk", v.name, v.address)
-	return v, w.start(v)
+	return w.start(v)
 }
 
 // terminate sends SIGTERM to a machine, and SIGKILL after grace-s.
@@ -105,10 +105,16 @@
 	}
 }
 
-// loseDisk kills a machine, and starts it again after a second with an empty disk.
-func (w *world) loseDisk(ctx context.Context, v *vm) error {
+// kill ends a machine with SIGKILL.
+func (w *world) kill(v *vm) {
+	w.logf("machine %s is killed", v.name)
 	_ = v.process.Process.Signal(syscall.SIGKILL)
 	<-v.exited
+}
+
+// loseDisk kills a machine, and starts it again after a second with an empty disk.
+func (w *world) loseDisk(ctx context.Context, v *vm) error {
+	w.kill(v)
 	if err := os.RemoveAll(w.dataFolder(v)); err != nil {
 		return err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"late-delete":         lateDelete,
 	"lapsed-drain":        lapsedDrain,
 	"replaced-then-wiped": replacedThenWiped,
+	"killed-then-wiped":   killedThenWiped,
 	"taken-back":          takenBack,
 }
 
--- a/review/standin/replaced_then_wiped.go
+++ b/review/standin/replaced_then_wiped.go
@@ -5,11 +5,40 @@
 	"time"
 )
 
+const catchUp = 4 * time.Second
+
 // replacedThenWiped replaces the control machine that leads in a planned way: another one starts
 // first and gets more than catch-up-s. The disruption: right after the next change has been
 // acknowledged, the machine that acknowledged it loses its disk.
 func replacedThenWiped(ctx context.Context, w *world, trouble bool) error {
-	const catchUp = 4 * time.Second
+	return w.loseAnotherDisk(ctx, trouble, func(leader *vm) error {
+		if err := w.addControl(leader.zone); err != nil {
+			return err
+		}
+		sleep(ctx, catchUp+2*time.Second)
+		w.terminate(leader)
+		leader.isRemoved = true
+		return nil
+	})
+}
+
+// killedThenWiped is the same without a plan: the machine that leads is killed for good, its
+// successor starts at once and gets catch-up-s.
+func killedThenWiped(ctx context.Context, w *world, trouble bool) error {
+	return w.loseAnotherDisk(ctx, trouble, func(leader *vm) error {
+		w.kill(leader)
+		leader.isRemoved = true
+		if err := w.addControl(leader.zone); err != nil {
+			return err
+		}
+		sleep(ctx, catchUp+50*time.Millisecond)
+		return nil
+	})
+}
+
+// loseAnotherDisk replaces the control machine that leads, has the next version acknowledged, lets
+// the machine that acknowledged it lose its disk, and reads the version back.
+func (w *world) loseAnotherDisk(ctx context.Context, trouble bool, replace func(leader *vm) error) error {
 	w.addSackOrders()
 	services := []service{{name: "sack-orders", kind: "unsafe"}}
 	if err := w.prepare(ctx, services...); err != nil {
@@ -18,14 +47,11 @@
 	if err := w.startUsers(ctx, 4, w.amend()); err != nil {
 		return err
 	}
-	if _, err := w.addControl("kano-a"); err != nil {
+	leader := w.controlAt(w.leader())
+	if err := replace(leader); err != nil {
 		return err
 	}
-	sleep(ctx, catchUp+2*time.Second)
-	removed := w.controlAt(w.leader())
-	w.terminate(removed)
-	removed.isRemoved = true
-	w.logf("machine %s is removed for good; its successor started more than %s ago", removed.name, catchUp)
+	w.logf("machine %s is removed for good; its successor started more than %s ago", leader.name, catchUp)
 	if err := w.declare(4, services); err != nil {
 		return err
 	}
@@ -46,6 +72,9 @@
 			return nil
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	w.breakf("CONFIG: version 4 was acknowledged; it does not come when it is read back for 40 s after all machines are back")
-	return ctx.Err()
+	return nil
 }
