Follow the rule exactly in case 5 and reserve the network of a run

Case 5 counted opening packets by their arrival; FAILBACK asks that they were sent inside the second as well.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -98,6 +98,7 @@
 	f := &clientFlow{c: c, key: key, in: make(chan packet, 256), next: uint32(c.w.rng.intN(1 << 30))}
 	c.flows[key] = f
 	c.mu.Unlock()
+	c.w.recordSent(key)
 	began := time.Now()
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond} {
 		f.send(flagSYN, uint32(copies), nil, f.next)
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -184,7 +184,7 @@
 		if h.draining && !h.drainAckedAt.IsZero() && now.Sub(h.drainAckedAt) > drainLimit {
 			h.w.breakf("DRAIN: opening packet of %s reaches host %s %.1f s after its draining was acknowledged", key.client, h.id, now.Sub(h.drainAckedAt).Seconds())
 		}
-		h.judgeCold(now)
+		h.judgeCold(key, now)
 	}
 	f.echo = p.echo
 	h.send(packet{flags: flagSYN | flagACK, echo: f.echo, seq: f.isn, ack: f.peer, src: key.route, dst: key.client})
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -81,6 +81,7 @@
 		}
 	}
 	_ = os.RemoveAll(w.temp)
+	_ = w.reserved.Close()
 }
 
 func (w *world) dataFolder(v *vm) string { return filepath.Join(w.temp, v.name+"-data") }
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	w.logf("operator sends version %d", version)
 	return w.call(http.MethodPut, "/redwingledge/config", body)
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -32,11 +32,13 @@
 	ports           ports
 	began           time.Time
 	rng             *lockedRand
+	reserved        net.Listener
 
 	mu      sync.Mutex
 	record  *os.File
 	breaks  []string
 	held    map[flowKey]*holding
+	sent    map[flowKey]time.Time
 	hosts   []*host
 	entries []*vm
 	cores   []*vm
@@ -86,22 +88,37 @@
 	}
 	w := &world{
 		folder: folder, program: program, temp: temp, record: record, began: time.Now(),
-		rng: &lockedRand{r: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}, held: make(map[flowKey]*holding), counts: make(map[string]int),
+		rng: &lockedRand{r: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}, held: make(map[flowKey]*holding), sent: make(map[flowKey]time.Time), counts: make(map[string]int),
 	}
 	// A network of this run's own, 127.N.x.x, whose ports are free.
 	for range 50 {
 		w.network = byte(20 + w.rng.intN(200))
 		base := uint16(7200 + 20*w.rng.intN(90))
 		w.ports = ports{packets: base, ready: base + 1, control: base + 2, internal: base + 3, host: base + 19}
-		if w.isFree() {
+		if w.reserve() {
 			return w, nil
 		}
 	}
 	return nil, fmt.Errorf("no free ports found")
 }
 
+// reserve takes the network for this run, by a listener that is kept until the run ends, and
+// reports whether it was free. A free network alone is not enough: another run may start at the
+// same moment.
+func (w *world) reserve() bool {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(w.address(6, 1), metricsPort).String())
+	if err != nil {
+		return false
+	}
+	if w.isFree() {
+		w.reserved = l
+		return true
+	}
+	_ = l.Close()
+	return false
+}
+
 func (w *world) isFree() bool {
-	// Another run on the same network would use the metrics port of the deploy file as well.
 	for _, at := range []netip.AddrPort{netip.AddrPortFrom(w.address(2, 1), w.ports.control), netip.AddrPortFrom(w.address(2, 1), metricsPort), netip.AddrPortFrom(w.address(1, 1), metricsPort)} {
 		l, err := net.Listen("tcp", at.String())
 		if err != nil {
@@ -117,7 +134,8 @@
 	return true
 }
 
-// address returns a loopback address: kind 1 entries, 2 control, 3 hosts, 4 clients, 5 routes.
+// address returns a loopback address: kind 1 entries, 2 control, 3 hosts, 4 clients,
+// 5 routes, 6 the reservation of the network.
 func (w *world) address(kind, i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, w.network, byte(kind), byte(i)})
 }
@@ -159,6 +177,19 @@
 	w.held[key] = &holding{host: h, openedAt: time.Now(), usedAt: time.Now()}
 }
 
+// recordSent records when a client sends the first copy of an opening packet.
+func (w *world) recordSent(key flowKey) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent[key] = time.Now()
+}
+
+func (w *world) sentAt(key flowKey) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent[key]
+}
+
 func (w *world) use(key flowKey) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
