Replace voters that stop or are gone before another disk may be lost

Cause: a replica that has gone for good voted on until it had been silent for 3.5 s, counted anew by each new leader. Until then three voters were two running replicas, and one more lost disk left one of three, which cannot change the membership.

Change: a planned stop hands over the vote as well as the lead, and waits until that is committed. A silent voter is replaced by one that stands by after 1.2 s: promoted first, demoted second, so that never fewer than three vote. Removal from the membership stays at 3.5 s.

Why it works: the successor or a standby votes before the stopped process ends, or within 1.2 s and two commits of an election of at most about 2 s, which is below the 4 s after which the platform may take the next disk.

--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -138,12 +138,13 @@
 	go d.runApplier()
 }
 
-// TransferLeadership transfers leadership to another replica before a planned stop. It returns
-// once this replica is not the leader, or when ctx ends, which happens without a majority.
+// TransferLeadership transfers leadership, and in an open membership the vote, to another replica
+// before a planned stop. It returns once that is done, or when ctx ends, which happens without a
+// majority.
 func (d *Driver) TransferLeadership(ctx context.Context) {
 	ticks := d.options.Timer.Subscribe("hand over", d.tickPeriod)
 	defer ticks.Cancel()
-	for d.Status().Role == replicator.RoleLeader && len(d.Status().Membership.Members) > 1 && !d.isStopped() {
+	for d.Status().IsHandoverDue && !d.isStopped() {
 		_ = d.inputs.TryPush(replicator.Resign{}) // retried at the next tick
 		select {
 		case <-ctx.Done():
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -52,8 +52,9 @@
 	Name string
 }
 
-// Resign asks a leader to transfer its leadership to another replica before a planned stop.
-// Pending proposals are finished, new ones are refused.
+// Resign prepares a planned stop. A leader transfers its leadership to another replica: pending
+// proposals are finished, new ones are refused. In an open membership, a voter then lets another
+// replica vote in its place. It is to be repeated while Status.IsHandoverDue is set.
 type Resign struct {
 	sealedInput
 	Now time.Time
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -3,7 +3,11 @@
 import "github.com/redwingledge/redwingledge/control/models/storer"
 
 func (m *Machine) resign() {
-	if m.role != RoleLeader || m.isOnlyVoter() {
+	if m.role != RoleLeader {
+		m.requestLeave()
+		return
+	}
+	if m.isOnlyVoter() {
 		return
 	}
 	if !m.isResigning() {
@@ -34,3 +38,48 @@
 		m.startElection(false, true)
 	}
 }
+
+// isHandoverDue reports whether a planned stop should wait. A replica that stops while it votes
+// counts against the majority until it is replaced, and so does the next replica that fails.
+func (m *Machine) isHandoverDue() bool {
+	if m.role == RoleLeader {
+		return !m.isOnlyVoter()
+	}
+	if !m.settings.OpenMembership {
+		return false
+	}
+	// An uncommitted membership may still be replaced by the one before.
+	for _, at := range m.memberships {
+		if at.index >= m.committedMembershipIndex() && at.membership.IsVoter(m.id) && at.membership.Voters() < len(at.membership.Members) {
+			return true
+		}
+	}
+	return false
+}
+
+// committedMembershipIndex returns the index of the newest committed membership.
+func (m *Machine) committedMembershipIndex() uint64 {
+	index := uint64(0)
+	for _, at := range m.memberships {
+		if at.index <= m.commitIndex {
+			index = at.index
+		}
+	}
+	return index
+}
+
+// requestLeave asks the leader to let another replica vote in place of this one.
+func (m *Machine) requestLeave() {
+	if leader, ok := m.membership().Get(m.leader); ok && m.hasLeader() && m.isHandoverDue() {
+		m.sendTo(leader, &LeaveRequest{Session: m.session})
+	}
+}
+
+func (m *Machine) handleLeaveRequest(from storer.Identity, req *LeaveRequest) {
+	if m.role != RoleLeader {
+		return
+	}
+	if p := m.leaderState.progress[from]; p != nil && p.session == req.Session {
+		p.leavingUntil = m.clock() + int64(m.settings.ElectionTimeout)
+	}
+}
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -22,6 +22,9 @@
 	sentAt int64
 	// trackedAt is the leader's clock when it began to track the replica.
 	trackedAt int64
+	// leavingUntil is the leader's clock until which the replica counts as leaving. The replica
+	// repeats its request until it stops.
+	leavingUntil int64
 	// sendingSnapshot is the snapshot that is being sent, or nil. The replica has it up to offset.
 	sendingSnapshot *storer.Snapshot
 	offset          uint64
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -76,6 +76,9 @@
 	// replica, as long as MinVoters responding voters remain. The replica joins again when it is
 	// back. 0 means never.
 	RemoveSilentAfter time.Duration
+	// ReplaceSilentAfter is the time without a response after which another replica of an open
+	// membership votes in place of a voter. 0 means RemoveSilentAfter.
+	ReplaceSilentAfter time.Duration
 	// MinVoters is the least number of voters that automatic removals leave.
 	MinVoters int
 }
@@ -299,6 +302,8 @@
 		m.handleJoinResponse(env.From, msg)
 	case *TimeoutNow:
 		m.handleTimeoutNow(env.From, msg)
+	case *LeaveRequest:
+		m.handleLeaveRequest(env.From, msg)
 	}
 }
 
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
@@ -17,10 +18,10 @@
 }
 
 // adjustMembership makes at most one change: it adds a replica that asked to join as a
-// non-voter, promotes a non-voter that has caught up, removes a silent replica, or demotes a
-// surplus voter.
+// non-voter, promotes a non-voter that has caught up, demotes a voter that has been replaced,
+// removes a silent replica, or demotes a surplus voter.
 func (m *Machine) adjustMembership() {
-	if m.canChangeMembership() && !m.admitJoiningReplica() && !m.promoteNonVoter() && !m.removeSilentReplica() {
+	if m.canChangeMembership() && !m.admitJoiningReplica() && !m.promoteNonVoter() && !m.demoteReplacedVoter() && !m.removeSilentReplica() {
 		m.demoteSurplusVoter()
 	}
 }
@@ -83,7 +84,7 @@
 func (m *Machine) promoteNonVoter() bool {
 	membership := m.membership()
 	for _, member := range membership.Members {
-		if member.Voter || !m.isActive(member.ID) || m.leaderState.progress[member.ID].matchIndex+maxLag < m.log.last() {
+		if member.Voter || !m.isActive(member.ID) || m.isLeaving(member.ID) || m.leaderState.progress[member.ID].matchIndex+maxLag < m.log.last() {
 			continue
 		}
 		// The earlier identity of a replica that lost its disk is removed first, so that the
@@ -97,7 +98,7 @@
 				return true
 			}
 		}
-		if m.settings.MaxVoters > 0 && m.countVoters(m.isReachable) >= m.settings.MaxVoters {
+		if m.settings.MaxVoters > 0 && m.countVoters(m.isStaying) >= m.settings.MaxVoters {
 			continue
 		}
 		member.Voter = true
@@ -107,19 +108,33 @@
 	return false
 }
 
-// removeSilentReplica removes at most one replica from an open membership if it has not responded
-// for RemoveSilentAfter. Replicas that are gone for good would otherwise raise the number of
-// voters that a majority needs.
+// demoteReplacedVoter makes at most one voter of an open membership a non-voter if it is silent or
+// leaves, and enough others vote. Otherwise it would count against the majority until it is
+// removed, and the next replica that loses its disk could leave no majority.
+func (m *Machine) demoteReplacedVoter() bool {
+	if !m.settings.OpenMembership {
+		return false
+	}
+	for _, member := range m.membership().Members {
+		if !member.Voter || m.isStaying(member.ID) || m.countVoters(m.isActiveAndStaying) < m.settings.MinVoters || !m.canRemove(member.ID) {
+			continue
+		}
+		member.Voter = false
+		m.changeMembership(m.membership().With(member))
+		return true
+	}
+	return false
+}
+
+// removeSilentReplica removes at most one non-voter from an open membership if it has not responded
+// for RemoveSilentAfter. A silent voter becomes a non-voter before.
 func (m *Machine) removeSilentReplica() bool {
 	if !m.settings.OpenMembership || m.settings.RemoveSilentAfter <= 0 {
 		return false
 	}
 	membership := m.membership()
 	for _, member := range membership.Members {
-		if m.isReachable(member.ID) {
-			continue
-		}
-		if member.Voter && (m.countVoters(m.isActive) < m.settings.MinVoters || !m.canRemove(member.ID)) {
+		if member.Voter || m.isReachable(member.ID) {
 			continue
 		}
 		m.changeMembership(membership.Without(member.ID))
@@ -146,9 +161,33 @@
 
 // isReachable reports whether a replica has responded within RemoveSilentAfter.
 func (m *Machine) isReachable(id storer.Identity) bool {
+	return m.hasRespondedWithin(id, m.settings.RemoveSilentAfter)
+}
+
+// hasRespondedWithin reports whether a replica has responded, or the leader has begun to track it,
+// within the timeout. 0 means no timeout.
+func (m *Machine) hasRespondedWithin(id storer.Identity, timeout time.Duration) bool {
+	p := m.leaderState.progress[id]
+	return id == m.id || p == nil || timeout <= 0 || m.clock()-max(p.sentAt, p.trackedAt) < int64(timeout)
+}
+
+// isLeaving reports whether a replica is about to stop as planned, so that it should not vote.
+func (m *Machine) isLeaving(id storer.Identity) bool {
 	p := m.leaderState.progress[id]
-	return id == m.id || p == nil || m.settings.RemoveSilentAfter <= 0 ||
-		m.clock()-max(p.sentAt, p.trackedAt) < int64(m.settings.RemoveSilentAfter)
+	return p != nil && m.clock() < p.leavingUntil
+}
+
+// isStaying reports whether a voter needs no replacement.
+func (m *Machine) isStaying(id storer.Identity) bool {
+	timeout := m.settings.ReplaceSilentAfter
+	if timeout <= 0 {
+		timeout = m.settings.RemoveSilentAfter
+	}
+	return !m.isLeaving(id) && m.hasRespondedWithin(id, timeout)
+}
+
+func (m *Machine) isActiveAndStaying(id storer.Identity) bool {
+	return m.isActive(id) && m.isStaying(id)
 }
 
 func (m *Machine) countVoters(condition func(storer.Identity) bool) int {
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -25,6 +25,7 @@
 	KindJoinRequest      Kind = 9
 	KindJoinResponse     Kind = 10
 	KindTimeoutNow       Kind = 11
+	KindLeaveRequest     Kind = 12
 )
 
 // Message is implemented by the message types of this package.
@@ -181,6 +182,15 @@
 	Term uint64
 }
 
+// LeaveRequest asks the leader to let another replica vote in place of the sender, which is about
+// to stop as planned. There is no response: the sender learns the new membership from its log.
+type LeaveRequest struct {
+	sealedMessage
+	_ struct{} `cbor:",toarray"`
+	// Session is that of the sender, which may vote again after its next start.
+	Session uint64
+}
+
 // Kind returns KindVoteRequest.
 func (*VoteRequest) Kind() Kind { return KindVoteRequest }
 
@@ -214,6 +224,9 @@
 // Kind returns KindTimeoutNow.
 func (*TimeoutNow) Kind() Kind { return KindTimeoutNow }
 
+// Kind returns KindLeaveRequest.
+func (*LeaveRequest) Kind() Kind { return KindLeaveRequest }
+
 // Envelope carries a message from one replica to another.
 type Envelope struct {
 	// Cluster is zero while the sender belongs to no cluster.
@@ -287,6 +300,8 @@
 		return &JoinResponse{}, nil
 	case KindTimeoutNow:
 		return &TimeoutNow{}, nil
+	case KindLeaveRequest:
+		return &LeaveRequest{}, nil
 	default:
 		return nil, ErrKindNotExist{Kind: kind}
 	}
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -16,7 +16,7 @@
 func newOpenMembershipSimulation(seed uint64, size int) *simulation {
 	return newConfiguredSimulation(seed, size, mutation{}, func(s *Settings) {
 		s.OpenMembership, s.SkipVerification = true, true
-		s.MaxVoters, s.MinVoters, s.RemoveSilentAfter = 3, 3, 3500*time.Millisecond
+		s.MaxVoters, s.MinVoters, s.RemoveSilentAfter, s.ReplaceSilentAfter = 3, 3, 3500*time.Millisecond, 1200*time.Millisecond
 		s.Peers = slices.Clone(s.Peers[:3])
 	})
 }
@@ -27,12 +27,17 @@
 		sim.kill(n)
 	}
 	sim.nodes = slices.DeleteFunc(sim.nodes, func(other *node) bool { return other == n })
+	sim.settings.Bootstrap = false
+	sim.startReplacement()
+}
+
+// startReplacement starts a replica with an empty disk at another address.
+func (sim *simulation) startReplacement() {
 	sim.seq++
 	replacement := &node{
 		name: fmt.Sprintf("n%d", sim.seq), clockRate: 1,
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(sim.seq >> 8), byte(sim.seq)}), 1),
 	}
-	sim.settings.Bootstrap = false
 	sim.nodes = append(sim.nodes, replacement)
 	sim.start(replacement)
 }
--- a/control/services/replicator/proposer.go
+++ b/control/services/replicator/proposer.go
@@ -75,6 +75,9 @@
 	LastIndex     uint64
 	SnapshotIndex uint64
 	Membership    storer.Membership
+	// IsHandoverDue reports that a planned stop should wait: this replica leads, or it is one of
+	// the voters of an open membership and another replica could vote in its place.
+	IsHandoverDue bool
 	// Failed is the error that stopped this replica, or nil.
 	Failed error
 }
@@ -90,6 +93,7 @@
 	s := Status{
 		Name: m.settings.Name, ID: m.id, Role: m.role, Term: m.term, Verified: m.verification.done,
 		CaughtUpIndex: m.caughtUpIndex, CommitIndex: m.commitIndex, LastIndex: m.log.last(), Membership: m.membership(),
+		IsHandoverDue: m.isHandoverDue(),
 	}
 	if m.snapshot != nil {
 		s.SnapshotIndex = m.snapshot.Index
--- /dev/null
+++ b/control/services/replicator/replaced_voter_test.go
@@ -0,0 +1,136 @@
+package replicator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// catchUp is the time after which another replica may be lost.
+const catchUp = 4 * time.Second
+
+// stop stops a replica for good as planned: it hands over what it is asked to, as the driver does,
+// and ends after two seconds at the latest.
+func (sim *simulation) stop(n *node) {
+	for deadline := sim.now + 2*time.Second; n.machine.Status().IsHandoverDue && sim.now < deadline; {
+		sim.step(n, Resign{Now: sim.clock(n)})
+		sim.run(tickPeriod)
+	}
+	sim.kill(n)
+	sim.nodes = slices.DeleteFunc(sim.nodes, func(other *node) bool { return other == n })
+}
+
+// loseDiskForGood kills a replica that never comes back with what it stored.
+func (sim *simulation) loseDiskForGood(n *node) {
+	sim.kill(n)
+	n.disk = nil
+	sim.run(time.Second)
+	sim.start(n)
+}
+
+// requireLeaderWith requires that a leader with a majority is elected that holds the entry of an index.
+func (sim *simulation) requireLeaderWith(t *testing.T, index uint64) {
+	t.Helper()
+	sim.run(5 * time.Second)
+	lead := sim.leader()
+	require.NotNil(t, lead, sim.describe())
+	require.True(t, lead.machine.hasActiveQuorum(), sim.describe())
+	require.GreaterOrEqual(t, lead.machine.commitIndex, index, sim.describe())
+}
+
+// commit commits a command at the leader and returns its index and the leader.
+func (sim *simulation) commit(t *testing.T) (uint64, *node) {
+	t.Helper()
+	lead := sim.leader()
+	require.NotNil(t, lead, sim.describe())
+	index := lead.machine.log.last() + 1
+	sim.step(lead, Propose{Now: sim.clock(lead), ID: 1 << 40, Command: []byte(`{}`)})
+	for range 10 {
+		if sim.run(tickPeriod); lead.machine.commitIndex >= index {
+			return index, lead
+		}
+	}
+	require.FailNow(t, "not committed", sim.describe())
+	return 0, nil
+}
+
+func forReplicaCounts(t *testing.T, check func(t *testing.T, sim *simulation)) {
+	t.Helper()
+	for _, size := range []int{4, 5} {
+		for seed := range uint64(30) {
+			t.Run(fmt.Sprintf("%d replicas, seed %d", size, seed), func(t *testing.T) {
+				t.Parallel()
+				sim := newOpenMembershipSimulation(seed, size)
+				require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+				sim.settings.Bootstrap = false
+				check(t, sim)
+			})
+		}
+	}
+}
+
+// Guards against control that ends for good when a replica is stopped for good as planned and
+// another one then loses its disk: the stopped one still counted against the majority.
+func TestPlannedStopLeavesMajorityForAnotherLostDisk(t *testing.T) {
+	t.Parallel()
+	for name, choose := range map[string]func(*simulation) *node{
+		"the leader": (*simulation).leader,
+		"a voter that follows": func(sim *simulation) *node {
+			lead := sim.leader()
+			return sim.nodes[slices.IndexFunc(sim.nodes, func(n *node) bool { return n != lead && lead.machine.membership().IsVoter(n.disk.id) })]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forReplicaCounts(t, func(t *testing.T, sim *simulation) {
+				sim.startReplacement()
+				sim.run(catchUp + 2*time.Second)
+				sim.stop(choose(sim))
+				sim.run(tickPeriod)
+				index, lead := sim.commit(t)
+				sim.loseDiskForGood(lead)
+				sim.requireLeaderWith(t, index)
+			})
+		})
+	}
+}
+
+// Guards against control that ends for good when the leader is killed for good and, once its
+// replacement has had the time to catch up, the new leader loses its disk: each new leader counted
+// the silence of the killed one from its own election on.
+func TestKilledLeaderIsReplacedBeforeAnotherDiskIsLost(t *testing.T) {
+	t.Parallel()
+	forReplicaCounts(t, func(t *testing.T, sim *simulation) {
+		killed := sim.leader()
+		sim.kill(killed)
+		sim.nodes = slices.DeleteFunc(sim.nodes, func(n *node) bool { return n == killed })
+		sim.startReplacement()
+		sim.run(catchUp)
+		index, lead := sim.commit(t)
+		sim.loseDiskForGood(lead)
+		sim.requireLeaderWith(t, index)
+	})
+}
+
+// Guards against replicas that hand over their vote when they stop and never get it back, while
+// all of them are restarted in turn.
+func TestStoppedReplicaVotesAgainAfterRestart(t *testing.T) {
+	t.Parallel()
+	forReplicaCounts(t, func(t *testing.T, sim *simulation) {
+		for range 2 * len(sim.nodes) {
+			n := sim.nodes[0]
+			sim.stop(n)
+			sim.nodes = append(sim.nodes, n)
+			sim.run(500 * time.Millisecond)
+			sim.start(n)
+			sim.run(1500 * time.Millisecond)
+			lead := sim.leader()
+			require.NotNil(t, lead, sim.describe())
+			require.Equal(t, 3, lead.machine.membership().Voters(), sim.describe())
+		}
+		require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+	})
+}
--- a/control/services/replicator/validation.go
+++ b/control/services/replicator/validation.go
@@ -29,7 +29,7 @@
 		return areInRange(msg.Term, msg.Round, msg.Offset, msg.Total, msg.Header.Index) && msg.isHeaderValid()
 	case *SnapshotResponse:
 		return areInRange(msg.Term, msg.Index, msg.Offset, msg.Echo.Round)
-	case *VerifyRequest, *JoinRequest, *JoinResponse:
+	case *VerifyRequest, *JoinRequest, *JoinResponse, *LeaveRequest:
 		return true
 	case *VerifyResponse:
 		return areInRange(msg.Term, msg.LastIndex, msg.LastTerm, msg.MembershipIndex)
