Take a withdrawal that names no start for no proof that it has ended

What callers saw: the withdrawal of a backend server's first start, held up by a cut, arrived after its second start.

Cause: withdrawals on the platform have no body and name no start. Control applied them to the newest start of the host, recorded it as gone, and took that record for more certain than the announcements of the live backend server.

Change: such a withdrawal stops new flows only. The next announcement brings the backend server back; without one it is gone when its lease expires. Withdrawals that name the start are unchanged.

Why it works: only an announcement or its absence for a whole lease tells whether the newest start runs, and both name the start.

--- a/control/services/director/command.go
+++ b/control/services/director/command.go
@@ -46,7 +46,7 @@
 type Withdraw struct {
 	sealed `cbor:"-"`
 	Host   string `cbor:"host"`
-	// Incarnation is 0 if the backend server did not give it; 0 matches any start.
+	// Incarnation is 0 if the backend server did not give it. It may then be that of any start.
 	Incarnation uint64 `cbor:"incarnation"`
 }
 
--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -34,6 +35,8 @@
 	// server there that has not stopped.
 	byHost    map[string]director.Token
 	byAddress map[netip.AddrPort]director.Token
+	// withdrawn holds the backend servers whose withdrawal may have been that of an earlier start.
+	withdrawn map[director.Token]bool
 	history   []changeSet
 	// compactedIndex is the highest index whose changes history may lack; later ones
 	// are complete.
@@ -47,7 +50,10 @@
 
 // NewMachine returns an empty Machine.
 func NewMachine() *Machine {
-	return &Machine{nextToken: 1, directory: director.NewDirectory(), byHost: make(map[string]director.Token), byAddress: make(map[netip.AddrPort]director.Token), changed: make(chan struct{})}
+	return &Machine{
+		nextToken: 1, directory: director.NewDirectory(), byHost: make(map[string]director.Token), byAddress: make(map[netip.AddrPort]director.Token),
+		withdrawn: make(map[director.Token]bool), changed: make(chan struct{}),
+	}
 }
 
 // Apply applies a committed command; an index that was applied before is ignored. It
@@ -167,12 +173,14 @@
 			continue
 		}
 		for _, other := range superseded {
+			delete(m.withdrawn, other.Token)
 			m.applyChange(director.ServerChanged{Server: other.WithState(director.StateGone)})
 		}
 		if known, ok := m.directory.Server(server.Token); ok && known == server {
 			continue
 		}
 		m.byHost[server.Host] = server.Token
+		delete(m.withdrawn, server.Token)
 		m.applyChange(director.ServerChanged{Server: server})
 	}
 	return stale
@@ -186,7 +194,7 @@
 		server = server.WithState(director.StateDraining)
 	}
 	known, ok := m.directory.Server(m.byHost[server.Host])
-	isSame := ok && known.Incarnation == server.Incarnation && known.Address == server.Address && known.Service == server.Service
+	isSame := ok && isSameStart(known, server) && !m.hasEndedUnproven(known)
 	switch {
 	case ok && server.Incarnation < known.Incarnation:
 		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: "a later start has announced itself"}
@@ -199,7 +207,7 @@
 	}
 	if isSame {
 		server.Token = known.Token
-		if known.State == server.State && known.IsCold() == server.IsCold() {
+		if !m.withdrawn[known.Token] && known.State == server.State && known.IsCold() == server.IsCold() {
 			// Only the sequence and the remaining time of the cold start differ.
 			return known, nil, nil
 		}
@@ -230,32 +238,6 @@
 	return []director.Server{other}, nil
 }
 
-func (m *Machine) withdraw(c Withdraw) {
-	known, ok := m.directory.Server(m.byHost[c.Host])
-	if !ok || known.State == director.StateGone || (c.Incarnation != 0 && c.Incarnation != known.Incarnation) {
-		return
-	}
-	m.applyChange(director.ServerChanged{Server: known.WithState(director.StateGone)})
-}
-
-func (m *Machine) expire(c Expire) {
-	for _, token := range c.Lapsed {
-		if s, ok := m.directory.Server(token); ok && s.IsLive() {
-			m.applyChange(director.ServerChanged{Server: s.WithState(director.StateLapsed)})
-		}
-	}
-	for _, token := range c.Forget {
-		s, ok := m.directory.Server(token)
-		if !ok || s.IsLive() {
-			continue
-		}
-		if m.byHost[s.Host] == token {
-			delete(m.byHost, s.Host)
-		}
-		m.applyChange(director.ServerRemoved{Token: token})
-	}
-}
-
 // Declared returns the current declaration.
 func (m *Machine) Declared() director.Declaration {
 	m.mu.RLock()
@@ -326,14 +308,14 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	known, ok := m.directory.Server(m.byHost[a.Server.Host])
-	if !ok || known.Incarnation != a.Server.Incarnation || known.Address != a.Server.Address || known.Service != a.Server.Service {
+	if !ok || !isSameStart(known, a.Server) || m.hasEndedUnproven(known) {
 		return 0, false
 	}
 	state := director.StateReady
 	if a.Draining {
 		state = director.StateDraining
 	}
-	return known.Token, known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
+	return known.Token, !m.withdrawn[known.Token] && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
 }
 
 // HasEntry reports whether an entry was added by Enlist.
@@ -350,6 +332,7 @@
 	NextToken director.Token       `cbor:"next_token"`
 	Declared  director.Declaration `cbor:"declared"`
 	Changes   []director.Body      `cbor:"changes"`
+	Withdrawn []director.Token     `cbor:"withdrawn,omitempty"`
 }
 
 // snapshotFormat is the version of the snapshot encoding.
@@ -359,7 +342,10 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := storedState{Format: snapshotFormat, Index: m.index, NextToken: m.nextToken, Declared: m.declared}
+	s := storedState{
+		Format: snapshotFormat, Index: m.index, NextToken: m.nextToken, Declared: m.declared,
+		Withdrawn: slices.Sorted(maps.Keys(m.withdrawn)),
+	}
 	for _, change := range m.directory.Changes() {
 		s.Changes = append(s.Changes, director.Wrap(change))
 	}
@@ -391,6 +377,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	clear(m.withdrawn)
+	for _, token := range s.Withdrawn {
+		m.withdrawn[token] = true
+	}
 	m.index, m.nextToken, m.declared, m.directory, m.byHost, m.byAddress = s.Index, s.NextToken, s.Declared, directory, byHost, byAddress
 	m.history, m.compactedIndex = nil, s.Index
 	close(m.changed)
