Reset no open flow because its data centre seems silent

Cause: an entry reset a repeated request when two other backend servers of the same data centre had left opening packets unanswered. That proves nothing about the backend server of the flow: a request is also repeated when one packet is lost.

An open flow is reset only when its backend server has ended for certain, or its route is gone. New flows avoid the silent data centre as before.

Tests: TestRepeatableRequestsAreReset demanded the reset, so it was wrong. The same outage is now a case of TestFlowsOfWorkingServersAreNotReset, which requires that no flow is reset; TestSilentNeighboursResetNoFlow loses one packet to a sound backend server.

--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -63,20 +63,19 @@
 	delete(b.flows, key)
 }
 
-// trackPacket records a packet of an established flow. It returns the flow, or nil if the flow has
-// ended or is not tracked.
-func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) *flow {
+// trackPacket records a packet of an established flow.
+func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) {
 	key := keyOf(p)
 	if p.IsReset || p.IsFinal {
 		b.untrack(key, now)
-		return nil
+		return
 	}
 	f, ok := b.flows[key]
 	if !ok || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
 		if f = b.track(key, flow{token: server.Token, isEstablished: true, acknowledged: p.Acknowledged, lastPacketAt: now}); f == nil {
-			return nil
+			return
 		}
 	}
 	f.lastPacketAt = now
@@ -84,7 +83,6 @@
 	if p.HasData {
 		b.recordRequest(f, p, now)
 	}
-	return f
 }
 
 // recordAnswer records an acknowledgement of the caller. A new one shows that the backend server
--- a/entry/services/balancer/health.go
+++ b/entry/services/balancer/health.go
@@ -13,16 +13,12 @@
 	// minRetransmissionDelay is the least time between a packet and its copy for the copy to count
 	// as a timeout. Copies that this process reads sooner have waited in its socket.
 	minRetransmissionDelay = 100 * time.Millisecond
-	// maxTimeoutAge is the greatest age of the last timeout of another backend server for a data
-	// centre to count as unreachable. After a recovery there are no new timeouts, so the last one
-	// becomes too old.
-	maxTimeoutAge = 2 * time.Second
 )
 
 // dataCentreHealth detects that a whole data centre does not answer: it has lost power, or cannot
 // be reached from this entry. Otherwise callers would try its backend servers one by one, 200 ms
-// each, until their leases expire. The state affects only the placement of new flows and, by
-// isUnreachable, repeatable requests. An answer of any backend server clears it.
+// each, until their leases expire. The state affects only the placement of new flows: silence proves
+// nothing about the backend server of an open one. An answer of any backend server clears it.
 type dataCentreHealth struct {
 	// unansweredServers counts the backend servers that left an opening packet unanswered since the
 	// last answer, and lastUnanswered is the newest of them. Only opening packets count: a backend
@@ -30,28 +26,13 @@
 	// mean load.
 	unansweredServers int
 	lastUnanswered    director.Token
-	// latestTimeouts are the last timeouts of two different backend servers, including those of
-	// requests.
-	latestTimeouts [2]answerTimeout
 	// retryAt is when one new flow may try the data centre again.
 	retryAt      time.Time
 	backoffLevel int
 }
 
-// answerTimeout is a packet that a backend server has not answered in time.
-type answerTimeout struct {
-	token director.Token
-	at    time.Time
-}
-
-func (h *dataCentreHealth) recordTimeout(token director.Token, isOpening bool, now time.Time) {
-	if token != h.latestTimeouts[0].token {
-		h.latestTimeouts[1] = h.latestTimeouts[0]
-	}
-	h.latestTimeouts[0] = answerTimeout{token: token, at: now}
-	if !isOpening {
-		return
-	}
+// recordTimeout records an opening packet that a backend server has not answered in time.
+func (h *dataCentreHealth) recordTimeout(token director.Token, now time.Time) {
 	if token != h.lastUnanswered {
 		h.unansweredServers++
 		h.lastUnanswered = token
@@ -79,18 +60,6 @@
 	return isRetransmission && h.unansweredServers > 0 || now.Before(h.retryAt)
 }
 
-// isUnreachable reports whether the data centre does not answer at all, judging only by backend
-// servers other than the one with the token: at least outageThreshold left opening packets
-// unanswered, another one has timed out within maxTimeoutAge, and none has answered since.
-func (h *dataCentreHealth) isUnreachable(token director.Token, now time.Time) bool {
-	for _, t := range h.latestTimeouts {
-		if t.token != 0 && t.token != token && now.Sub(t.at) <= maxTimeoutAge {
-			return h.unansweredServers >= outageThreshold
-		}
-	}
-	return false
-}
-
 // recordChoice records that a new flow goes to the data centre. While the data centre seems to be
 // down, this flow is the probe, and others avoid it for the backoff.
 func (h *dataCentreHealth) recordChoice(now time.Time) {
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -64,8 +64,6 @@
 	ReasonOtherService
 	// ReasonServerGone is a packet to a backend server that no longer exists.
 	ReasonServerGone
-	// ReasonDataCentreUnreachable is a retransmitted request to a data centre that does not answer.
-	ReasonDataCentreUnreachable
 
 	reasonCount
 )
@@ -73,7 +71,7 @@
 // String returns the name of the reason in counters and logs.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone", "server_lost",
+		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone",
 	}
 	if r >= reasonCount {
 		return "unknown"
--- a/entry/services/balancer/selector.go
+++ b/entry/services/balancer/selector.go
@@ -303,7 +303,9 @@
 	}
 	count := b.timeouts.count + 1
 	b.timeouts = timeouts{count: count, avoidUntil: now.Add(backoff(count))}
-	b.health.recordTimeout(token, isOpening, now)
+	if isOpening {
+		b.health.recordTimeout(token, now)
+	}
 	s.classify(b, now)
 }
 
