Refuse announcements that no backend server can have sent

Others with numbers or names out of range made a live one's announcements stale, or made a whole batch of announcements unreadable. No process ended on deep nesting, large numbers or ports out of range.

Cause: the decoder left two fields optional, took null and names in capitals for good, and nothing checked values before they entered the replicated log.

--- a/control/services/director/errors.go
+++ b/control/services/director/errors.go
@@ -43,6 +43,23 @@
 	return errors.As(err, &target)
 }
 
+// ErrInvalidAnnouncement reports an announcement that no backend server can have sent.
+type ErrInvalidAnnouncement struct {
+	Host   string
+	Reason string
+}
+
+// Error returns the message of the error.
+func (e ErrInvalidAnnouncement) Error() string {
+	return fmt.Sprintf("announcement of %q is invalid: %s", e.Host, e.Reason)
+}
+
+// IsErrInvalidAnnouncement reports whether err is an ErrInvalidAnnouncement.
+func IsErrInvalidAnnouncement(err error) bool {
+	var target ErrInvalidAnnouncement
+	return errors.As(err, &target)
+}
+
 // ErrServiceNotExist reports an announcement for a service that is not declared.
 type ErrServiceNotExist struct {
 	Service string
--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -96,11 +96,15 @@
 func (forwardedEntry) isForwardItem()        {}
 
 // Announce records an announcement and renews its lease. Errors are those of
-// replicator.Proposer, ErrStaleAnnouncement, ErrServiceNotExist, and those of the call
-// to the leader. While this replica is not current, Announce waits for up to
+// replicator.Proposer, ErrInvalidAnnouncement, ErrStaleAnnouncement, ErrServiceNotExist, and
+// those of the call to the leader. While this replica is not current, Announce waits for up to
 // announceTimeout: if thousands of backend servers were refused after a simultaneous
 // start, all of them would ask the next replica at once.
 func (s *Service) Announce(ctx context.Context, a Announcement) error {
+	// An invalid one could make the whole batch in which it travels unreadable.
+	if err := a.Server.Check(); err != nil {
+		return ErrInvalidAnnouncement{Host: a.Server.Host, Reason: err.Error()}
+	}
 	if err := s.currentGate.wait(ctx, s.IsCurrent); err != nil {
 		return err
 	}
--- a/shared/models/director/server.go
+++ b/shared/models/director/server.go
@@ -5,8 +5,21 @@
 package director
 
 import (
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
+	"unicode/utf8"
+)
+
+// Upper limits of announced values. MaxNameLength is in bytes.
+const (
+	MaxNameLength = 128
+	MaxSlots      = 100_000
+	MaxColdStart  = time.Hour
+	// MaxCounter is the limit of sequences and incarnations: the largest integer that every JSON
+	// reader represents exactly.
+	MaxCounter = 1<<53 - 1
 )
 
 // Token identifies one start of a backend server. Control assigns tokens in the
@@ -66,6 +79,32 @@
 	ColdStart time.Duration
 }
 
+// Check returns an error that names every invalid field that a backend server announces, or nil if
+// all are valid.
+func (s Server) Check() error {
+	errs := []error{checkName("host", s.Host), checkName("service", s.Service), checkName("data centre", s.DataCentre)}
+	if !s.Address.IsValid() || s.Address.Port() == 0 || s.Address.Addr().IsUnspecified() {
+		errs = append(errs, errors.New("address: must be IP:PORT with a port above 0"))
+	}
+	if s.Slots < 1 || s.Slots > MaxSlots {
+		errs = append(errs, fmt.Errorf("slots: must be 1 to %d", MaxSlots))
+	}
+	if s.ColdStart < 0 || s.ColdStart > MaxColdStart {
+		errs = append(errs, fmt.Errorf("cold start: must be 0 to %s", MaxColdStart))
+	}
+	if s.Sequence > MaxCounter || s.Incarnation > MaxCounter {
+		errs = append(errs, fmt.Errorf("sequence and incarnation: must be 0 to %d", uint64(MaxCounter)))
+	}
+	return errors.Join(errs...)
+}
+
+func checkName(field, name string) error {
+	if name == "" || len(name) > MaxNameLength || !utf8.ValidString(name) {
+		return fmt.Errorf("%s: must have 1 to %d bytes of UTF-8", field, MaxNameLength)
+	}
+	return nil
+}
+
 // AcceptsNewFlows reports whether the backend server may get new flows.
 func (s Server) AcceptsNewFlows() bool { return s.State == StateReady }
 
