Reopen the replica of control after its disk was full

What callers saw: once a write had failed, the product's control program answered every call with "no majority" until an operator restarted its process. After two of three disks had been full for a moment, one after the other, no change was possible any more although all processes ran. The platform's control was not affected.

Cause: only the platform's program supervised its replica.

The state machine keeps its state while the replica is reopened (AppliedIndex of the driver), so that it never goes back; before, the platform's began empty again.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -4,19 +4,17 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
 	"go.uber.org/fx"
 
-	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/routers/operators"
 	"github.com/redwingledge/redwingledge/control/services/adapter"
-	"github.com/redwingledge/redwingledge/control/services/driver"
 	"github.com/redwingledge/redwingledge/control/services/planner"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/control/services/supervisor"
 	"github.com/redwingledge/redwingledge/shared/modules/registrar"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
@@ -24,7 +22,7 @@
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
 
-// serviceReplica is the name under which the *driver.Driver is registered.
+// serviceReplica is the name under which the *supervisor.Supervisor is registered.
 const serviceReplica = "replica"
 
 // readinessInterval is the interval of the readiness check.
@@ -51,44 +49,43 @@
 	return adapter.Applier{Machine: machine}
 }
 
-func newRouter(s settings, replica *driver.Driver, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) *operators.Router {
+func newRouter(s settings, replica *supervisor.Supervisor, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) *operators.Router {
 	service := planner.NewService(adapter.NewProposer(replica, machine), machine, clock, rand.Reader)
 	return operators.New(service, s.Settings, s.HasCertificates(), counters, logger)
 }
 
-// newReplica opens the store and registers the replica that uses it.
-func newReplica(lc fx.Lifecycle, s settings, config *tls.Config, applier replicator.Applier, registry *registrar.Registry, counters *reporter.Counters, logger *slog.Logger) (*driver.Driver, error) {
-	store, state, err := storer.Open(s.storeSettings())
-	if err != nil {
-		return nil, err
-	}
-	lc.Append(fx.Hook{OnStop: func(context.Context) error { return store.Close() }})
+// newReplica registers the replica, which its first start hook opens.
+func newReplica(s settings, config *tls.Config, applier replicator.Applier, registry *registrar.Registry, counters *reporter.Counters, logger *slog.Logger) (*supervisor.Supervisor, error) {
+	replica := supervisor.New(supervisor.Options{
+		Replication: s.replicationSettings, Storage: s.storeSettings, Applier: applier,
+		Timer: timer.NewBootTime(), TLS: config, Counters: counters, Logger: logger,
+	})
 	counters.Func("replica_data_bytes", func() any {
-		size, err := store.Size()
+		size, err := replica.DataSize()
 		if err != nil {
 			return err.Error()
 		}
 		return size
 	})
-	logger.Info("replica loaded", "name", s.Name, "identity", state.Identity, "is_new", state.IsNew, "entries", len(state.Entries))
-	replica, err := driver.New(driver.Options{
-		Settings: s.replicationSettings(), Store: store, State: state, Applier: applier,
-		Timer: timer.NewBootTime(), TLS: config, Counters: counters, Logger: logger,
-	})
-	if err != nil {
-		return nil, errors.Join(err, store.Close())
-	}
 	return replica, registry.Register(serviceReplica, replica)
 }
 
-func startReplica(lc fx.Lifecycle, replica *driver.Driver) {
+// startReplica opens the replica and keeps it running. The program does not start with a store that
+// cannot be opened.
+func startReplica(lc fx.Lifecycle, replica *supervisor.Supervisor) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			replica.Start()
+			if err := replica.Open(); err != nil {
+				return err
+			}
+			running.Go(func() { replica.Run(ctx) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			replica.Stop()
+			cancel()
+			running.Wait()
 			return nil
 		},
 	})
@@ -102,7 +99,7 @@
 	Others []*transporter.Service `group:"grpc"`
 }
 
-func startServer(lc fx.Lifecycle, s settings, config *tls.Config, replica *driver.Driver, all grpcServices, logger *slog.Logger) error {
+func startServer(lc fx.Lifecycle, s settings, config *tls.Config, replica *supervisor.Supervisor, all grpcServices, logger *slog.Logger) error {
 	server, err := transporter.Listen(s.GRPCAddress, config, append(all.Others, replica.Service())...)
 	if err != nil {
 		return err
@@ -147,7 +144,7 @@
 
 // startMembership admits the replicas that the configuration lists and removes
 // those that it no longer lists.
-func startMembership(lc fx.Lifecycle, replica *driver.Driver, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) {
+func startMembership(lc fx.Lifecycle, replica *supervisor.Supervisor, machine *planner.Machine, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ticks := clock.Subscribe("replica membership", membershipPeriod)
 	var running sync.WaitGroup
@@ -175,7 +172,7 @@
 	})
 }
 
-func removeUnlistedReplicas(ctx context.Context, replica *driver.Driver, machine *planner.Machine, counters *reporter.Counters, logger *slog.Logger) {
+func removeUnlistedReplicas(ctx context.Context, replica *supervisor.Supervisor, machine *planner.Machine, counters *reporter.Counters, logger *slog.Logger) {
 	status := replica.Status()
 	if status.Role != replicator.RoleLeader || !status.HasQuorum {
 		return
@@ -198,7 +195,7 @@
 
 // startReadiness reports the replica as ready while it knows a leader with a quorum.
 // Its hook stops first, and transfers leadership to another replica.
-func startReadiness(lc fx.Lifecycle, s settings, replica *driver.Driver, clock timer.Service, readiness *reporter.Readiness) {
+func startReadiness(lc fx.Lifecycle, s settings, replica *supervisor.Supervisor, clock timer.Service, readiness *reporter.Readiness) {
 	ticks := clock.Subscribe("readiness", readinessInterval)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/control/services/driver/applying.go
+++ b/control/services/driver/applying.go
@@ -21,7 +21,7 @@
 			d.apply(o.Entries)
 			d.logCurrent()
 		case replicator.Restore:
-			if err := d.options.Applier.Restore(o.Snapshot.Data); err != nil {
+			if err := d.restore(o.Snapshot); err != nil {
 				d.fail(fmt.Errorf("restore the snapshot at %d: %w", o.Snapshot.Index, err))
 				return
 			}
@@ -36,10 +36,17 @@
 	}
 }
 
+func (d *Driver) restore(snapshot *storer.Snapshot) error {
+	if snapshot.Index <= d.options.AppliedIndex {
+		return nil
+	}
+	return d.options.Applier.Restore(snapshot.Data)
+}
+
 func (d *Driver) apply(entries []storer.Entry) {
 	for _, e := range entries {
 		var o outcome
-		if e.Kind == storer.EntryCommand {
+		if e.Kind == storer.EntryCommand && e.Index > d.options.AppliedIndex {
 			o = d.applyRecovering(e)
 		}
 		d.setApplied(e.Index)
@@ -65,10 +72,19 @@
 	d.applied = index
 }
 
+// snapshot returns a snapshot of the state at index. It returns an error while the Applier is ahead
+// of the log that is applied again.
+func (d *Driver) snapshot(index uint64) ([]byte, error) {
+	if index < d.options.AppliedIndex {
+		return nil, fmt.Errorf("the state is that at index %d", d.options.AppliedIndex)
+	}
+	return d.options.Applier.Snapshot()
+}
+
 // takeSnapshot stores a snapshot for the next step of the Machine. The goroutine of
 // runSteps must not wait for this one.
 func (d *Driver) takeSnapshot(index uint64) {
-	data, err := d.options.Applier.Snapshot()
+	data, err := d.snapshot(index)
 	if err != nil {
 		d.metrics.snapshotErrors.Add(1)
 		d.options.Logger.Warn("snapshot failed", "index", index, "error", err)
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -47,7 +47,10 @@
 	Store    *storer.Store
 	State    *storer.State
 	Applier  replicator.Applier
-	Timer    timer.Service
+	// AppliedIndex is the index up to which the Applier has applied the log before; 0 if it is
+	// empty. Those entries and older snapshots are not applied again, so its state never goes back.
+	AppliedIndex uint64
+	Timer        timer.Service
 	// TLS is nil to connect without TLS. Otherwise messages are only accepted from
 	// callers whose certificate has the common name of a replica.
 	TLS      *tls.Config
@@ -97,8 +100,8 @@
 	_ replicator.Remover  = (*Driver)(nil)
 )
 
-// New returns a Driver that is not started yet. The Applier must be empty; the stored
-// snapshot is restored into it when the Driver starts.
+// New returns a Driver that is not started yet. The stored snapshot is restored into the Applier
+// when the Driver starts.
 func New(options Options) (*Driver, error) {
 	machine, err := replicator.New(options.Settings, options.State, options.Timer.Now(), newRandom())
 	if err != nil {
@@ -333,7 +336,7 @@
 	if !first {
 		return
 	}
-	d.options.Logger.Error("replica stopped; restart it after the cause is gone", "error", err)
+	d.options.Logger.Error("replica stopped", "error", err)
 	d.shutDown()
 }
 
--- a/control/services/supervisor/supervisor.go
+++ b/control/services/supervisor/supervisor.go
@@ -1,6 +1,5 @@
-// Package supervisor runs the replica of the director's state. After a failure of its
-// disk it reopens the replica within the process, so that a full disk does not end the
-// process.
+// Package supervisor runs a control replica. After a failure of its disk it reopens the replica
+// within the process, so that the replica takes part again once the disk has room.
 package supervisor
 
 import (
@@ -15,7 +14,6 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
-	"github.com/redwingledge/redwingledge/control/services/director"
 	"github.com/redwingledge/redwingledge/control/services/driver"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
@@ -29,8 +27,11 @@
 
 // Options configures a Supervisor.
 type Options struct {
+	// Replication and Storage return the settings for the next time that the store is opened.
 	Replication func() replicator.Settings
-	Storage     storer.Settings
+	Storage     func() storer.Settings
+	// Applier keeps its state while the replica is reopened.
+	Applier replicator.Applier
 	// TLS is nil to connect without TLS.
 	TLS      *tls.Config
 	Timer    timer.Service
@@ -43,20 +44,26 @@
 type Supervisor struct {
 	options Options
 
+	// appliedIndex is the index up to which the Applier had applied the log when the replica was
+	// last closed.
+	appliedIndex uint64
+
 	mu      sync.Mutex
 	store   *storer.Store
 	replica *driver.Driver
-	machine *director.Machine
+	// name is that of the replica, once it has been opened.
+	name string
 }
 
-var _ replicator.Proposer = (*Supervisor)(nil)
+var (
+	_ replicator.Proposer = (*Supervisor)(nil)
+	_ replicator.Remover  = (*Supervisor)(nil)
+)
 
-// New returns a Supervisor that has no running replica until Run is called.
-func New(options Options) *Supervisor {
-	return &Supervisor{options: options, machine: director.NewMachine()}
-}
+// New returns a Supervisor that has no running replica until Open or Run is called.
+func New(options Options) *Supervisor { return &Supervisor{options: options} }
 
-// Run opens a replica and keeps it running. It closes the replica and returns when ctx ends.
+// Run opens a replica, unless Open has done so, and keeps it running. It closes the replica and returns when ctx ends.
 func (s *Supervisor) Run(ctx context.Context) {
 	ticks := s.options.Timer.Subscribe("replica supervisor", checkPeriod)
 	defer ticks.Cancel()
@@ -74,21 +81,21 @@
 
 // TransferLeadership transfers leadership to another replica before a planned stop.
 func (s *Supervisor) TransferLeadership(ctx context.Context) {
-	if replica, _ := s.current(); replica != nil {
+	if replica := s.current(); replica != nil {
 		replica.TransferLeadership(ctx)
 	}
 }
 
 // SetPeers replaces the peers that this replica asks to join the cluster.
 func (s *Supervisor) SetPeers(peers []replicator.Peer) {
-	if replica, _ := s.current(); replica != nil {
+	if replica := s.current(); replica != nil {
 		replica.SetPeers(peers)
 	}
 }
 
 // ensureRunning closes a failed replica and opens one if none runs.
 func (s *Supervisor) ensureRunning() {
-	replica, _ := s.current()
+	replica := s.current()
 	if replica != nil {
 		if replica.Status().Failed == nil {
 			return
@@ -96,29 +103,31 @@
 		s.options.Counters.Int("replica_reopened").Add(1)
 		s.close()
 	}
-	if err := s.open(); err != nil {
+	if err := s.Open(); err != nil {
 		s.options.Logger.Error("replica cannot be opened; trying again", "error", err, "retry_after", checkPeriod)
 	}
 }
 
-func (s *Supervisor) open() error {
-	store, state, err := storer.Open(s.options.Storage)
+// Open opens the store and starts the replica. It must not be called while Run does. Errors are those
+// of storer.Open, and an error if the stored log cannot be read.
+func (s *Supervisor) Open() error {
+	store, state, err := storer.Open(s.options.Storage())
 	if err != nil {
 		return err
 	}
-	machine := director.NewMachine()
+	settings := s.options.Replication()
 	replica, err := driver.New(driver.Options{
-		Settings: s.options.Replication(), Store: store, State: state, Applier: machine,
+		Settings: settings, Store: store, State: state, Applier: s.options.Applier, AppliedIndex: s.appliedIndex,
 		Timer: s.options.Timer, TLS: s.options.TLS, Counters: s.options.Counters, Logger: s.options.Logger,
 	})
 	if err != nil {
 		return errors.Join(err, store.Close())
 	}
-	s.options.Logger.Info("replica opened", "identity", state.Identity, "is_new", state.IsNew, "entries", len(state.Entries))
+	s.options.Logger.Info("replica opened", "name", settings.Name, "identity", state.Identity, "is_new", state.IsNew, "entries", len(state.Entries))
 	replica.Start()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store, s.replica, s.machine = store, replica, machine
+	s.store, s.replica, s.name = store, replica, settings.Name
 	return nil
 }
 
@@ -131,37 +140,59 @@
 		return
 	}
 	replica.Stop()
+	s.appliedIndex = max(s.appliedIndex, replica.Status().AppliedIndex)
 	if err := store.Close(); err != nil {
 		s.options.Logger.Warn("store was not closed cleanly", "error", err)
 	}
 }
 
-func (s *Supervisor) current() (*driver.Driver, *director.Machine) {
+func (s *Supervisor) current() *driver.Driver {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replica, s.machine
+	return s.replica
 }
 
-// Machine returns the replicated state machine.
-func (s *Supervisor) Machine() *director.Machine {
-	_, machine := s.current()
-	return machine
+// DataSize returns the size of the data file in bytes, or 0 while it is closed.
+func (s *Supervisor) DataSize() (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.store == nil {
+		return 0, nil
+	}
+	return s.store.Size()
 }
 
 var errStoreClosed = replicator.ErrNoQuorum{Reason: "the store of this replica is closed"}
 
 // Propose commits a command; see replicator.Proposer.
 func (s *Supervisor) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	replica, _ := s.current()
+	replica := s.current()
 	if replica == nil {
 		return nil, errStoreClosed
 	}
 	return replica.Propose(ctx, command)
 }
 
+// RemoveReplica removes a replica; see replicator.Remover.
+func (s *Supervisor) RemoveReplica(ctx context.Context, name string) error {
+	replica := s.current()
+	if replica == nil {
+		return errStoreClosed
+	}
+	return replica.RemoveReplica(ctx, name)
+}
+
+// AdmitReplicas sets the names of the replicas that may join; see driver.Driver. It is to be
+// repeated, as a replica that is reopened does not know them.
+func (s *Supervisor) AdmitReplicas(names []string, exclusive bool) {
+	if replica := s.current(); replica != nil {
+		replica.AdmitReplicas(names, exclusive)
+	}
+}
+
 // ReadBarrier waits until everything committed before the call is applied; see replicator.Proposer.
 func (s *Supervisor) ReadBarrier(ctx context.Context) error {
-	replica, _ := s.current()
+	replica := s.current()
 	if replica == nil {
 		return errStoreClosed
 	}
@@ -171,9 +202,11 @@
 // Status returns the status of the replica, or that of a follower without a leader if none
 // runs; see replicator.Proposer.
 func (s *Supervisor) Status() replicator.Status {
-	replica, _ := s.current()
+	replica := s.current()
 	if replica == nil {
-		return replicator.Status{Role: replicator.RoleFollower}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return replicator.Status{Name: s.name, Role: replicator.RoleFollower}
 	}
 	return replica.Status()
 }
@@ -181,7 +214,7 @@
 // Service returns the gRPC service for other replicas.
 func (s *Supervisor) Service() *transporter.Service {
 	return driver.NewService(func(ctx context.Context, delivery *driver.DeliverRequest) (*driver.DeliverResponse, error) {
-		replica, _ := s.current()
+		replica := s.current()
 		if replica == nil {
 			return nil, status.Error(codes.Unavailable, errStoreClosed.Error())
 		}
