Keep a draining backend server draining when its lease expires

Cause: an expired lease replaced the state "draining" by "lapsed", and entries use lapsed backend servers if a service has no others.

Change: the record stays draining, and control marks it as silent.

--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -37,7 +37,10 @@
 	byAddress map[netip.AddrPort]director.Token
 	// withdrawn holds the backend servers whose withdrawal may have been that of an earlier start.
 	withdrawn map[director.Token]bool
-	history   []changeSet
+	// silent holds the draining backend servers whose lease has expired. Entries know them as
+	// draining, because they must still get no new flows.
+	silent  map[director.Token]bool
+	history []changeSet
 	// compactedIndex is the highest index whose changes history may lack; later ones
 	// are complete.
 	compactedIndex uint64
@@ -52,7 +55,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		nextToken: 1, directory: director.NewDirectory(), byHost: make(map[string]director.Token), byAddress: make(map[netip.AddrPort]director.Token),
-		withdrawn: make(map[director.Token]bool), changed: make(chan struct{}),
+		withdrawn: make(map[director.Token]bool), silent: make(map[director.Token]bool), changed: make(chan struct{}),
 	}
 }
 
@@ -131,6 +134,14 @@
 	return nil
 }
 
+func setOf(tokens []director.Token) map[director.Token]bool {
+	set := make(map[director.Token]bool, len(tokens))
+	for _, token := range tokens {
+		set[token] = true
+	}
+	return set
+}
+
 // declare applies a declaration. One that is not newer than the current one is ignored.
 func (m *Machine) declare(d director.Declaration) {
 	if d.Version <= m.declared.Version {
@@ -173,14 +184,14 @@
 			continue
 		}
 		for _, other := range superseded {
-			delete(m.withdrawn, other.Token)
+			m.clearMarks(other.Token)
 			m.applyChange(director.ServerChanged{Server: other.WithState(director.StateGone)})
 		}
+		m.clearMarks(server.Token)
 		if known, ok := m.directory.Server(server.Token); ok && known == server {
 			continue
 		}
 		m.byHost[server.Host] = server.Token
-		delete(m.withdrawn, server.Token)
 		m.applyChange(director.ServerChanged{Server: server})
 	}
 	return stale
@@ -207,7 +218,7 @@
 	}
 	if isSame {
 		server.Token = known.Token
-		if !m.withdrawn[known.Token] && known.State == server.State && known.IsCold() == server.IsCold() {
+		if known.State == server.State && known.IsCold() == server.IsCold() {
 			// Only the sequence and the remaining time of the cold start differ.
 			return known, nil, nil
 		}
@@ -315,7 +326,7 @@
 	if a.Draining {
 		state = director.StateDraining
 	}
-	return known.Token, !m.withdrawn[known.Token] && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
+	return known.Token, !m.withdrawn[known.Token] && !m.silent[known.Token] && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
 }
 
 // HasEntry reports whether an entry was added by Enlist.
@@ -333,6 +344,7 @@
 	Declared  director.Declaration `cbor:"declared"`
 	Changes   []director.Body      `cbor:"changes"`
 	Withdrawn []director.Token     `cbor:"withdrawn,omitempty"`
+	Silent    []director.Token     `cbor:"silent,omitempty"`
 }
 
 // snapshotFormat is the version of the snapshot encoding.
@@ -344,7 +356,7 @@
 	defer m.mu.RUnlock()
 	s := storedState{
 		Format: snapshotFormat, Index: m.index, NextToken: m.nextToken, Declared: m.declared,
-		Withdrawn: slices.Sorted(maps.Keys(m.withdrawn)),
+		Withdrawn: slices.Sorted(maps.Keys(m.withdrawn)), Silent: slices.Sorted(maps.Keys(m.silent)),
 	}
 	for _, change := range m.directory.Changes() {
 		s.Changes = append(s.Changes, director.Wrap(change))
@@ -377,10 +389,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.withdrawn)
-	for _, token := range s.Withdrawn {
-		m.withdrawn[token] = true
-	}
+	m.withdrawn, m.silent = setOf(s.Withdrawn), setOf(s.Silent)
 	m.index, m.nextToken, m.declared, m.directory, m.byHost, m.byAddress = s.Index, s.NextToken, s.Declared, directory, byHost, byAddress
 	m.history, m.compactedIndex = nil, s.Index
 	close(m.changed)
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -219,7 +219,7 @@
 	tokens := make(map[director.Token]bool)
 	for _, server := range s.machine().Servers() {
 		tokens[server.Token] = true
-		if server.IsLive() {
+		if s.machine().HasLease(server) {
 			delete(s.goneSince, server.Token)
 			if now.Sub(latest(s.renewedAt[server.Token], s.leasesRestartedAt)) > s.settings.Lease {
 				command.Lapsed = append(command.Lapsed, server.Token)
--- a/control/services/director/withdrawal.go
+++ b/control/services/director/withdrawal.go
@@ -13,6 +13,24 @@
 	return server.State == director.StateGone && m.withdrawn[server.Token]
 }
 
+// hasLease reports whether the lease of a backend server may still expire.
+func (m *Machine) hasLease(server director.Server) bool {
+	return server.IsLive() && !m.silent[server.Token]
+}
+
+// HasLease reports whether the lease of a backend server may still expire.
+func (m *Machine) HasLease(server director.Server) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.hasLease(server)
+}
+
+// clearMarks deletes what is recorded about the silence of a backend server.
+func (m *Machine) clearMarks(token director.Token) {
+	delete(m.withdrawn, token)
+	delete(m.silent, token)
+}
+
 // withdraw records that a backend server has stopped. A withdrawal that does not name the start may
 // be late and belong to an earlier one, so the backend server only gets no new flows until it
 // announces itself again, and is gone once its lease has expired.
@@ -22,7 +40,7 @@
 		return
 	}
 	state := director.StateGone
-	delete(m.withdrawn, known.Token)
+	m.clearMarks(known.Token)
 	if c.Incarnation == 0 {
 		state = director.StateDraining
 		m.withdrawn[known.Token] = true
@@ -35,24 +53,25 @@
 func (m *Machine) expire(c Expire) {
 	for _, token := range c.Lapsed {
 		s, ok := m.directory.Server(token)
-		if !ok || !s.IsLive() {
-			continue
-		}
-		state := director.StateLapsed
-		if m.withdrawn[token] {
-			state = director.StateGone
+		switch {
+		case !ok || !s.IsLive():
+		case m.withdrawn[token]:
+			m.applyChange(director.ServerChanged{Server: s.WithState(director.StateGone)})
+		case s.State == director.StateDraining:
+			m.silent[token] = true
+		default:
+			m.applyChange(director.ServerChanged{Server: s.WithState(director.StateLapsed)})
 		}
-		m.applyChange(director.ServerChanged{Server: s.WithState(state)})
 	}
 	for _, token := range c.Forget {
 		s, ok := m.directory.Server(token)
-		if !ok || s.IsLive() {
+		if !ok || m.hasLease(s) {
 			continue
 		}
 		if m.byHost[s.Host] == token {
 			delete(m.byHost, s.Host)
 		}
-		delete(m.withdrawn, token)
+		m.clearMarks(token)
 		m.applyChange(director.ServerRemoved{Token: token})
 	}
 }
