Count backend servers of a returned data centre as cold until they announce themselves

Cause: entries learn of a cold start with the next announcement, and sent new flows to the data centre before.

Change: the command that brings a data centre back also records the declared cold start for its backend servers of services that declare a rate; the next announcement of each corrects it.

--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -121,9 +122,7 @@
 	case Expire:
 		m.expire(c)
 	case TakeOut:
-		if m.directory.IsTakenOut(c.DataCentre) != c.TakenOut {
-			m.applyChange(director.DataCentreChanged{Name: c.DataCentre, TakenOut: c.TakenOut})
-		}
+		m.takeOut(c)
 	case Enlist:
 		if !m.directory.HasEntry(c.Entry) {
 			m.applyChange(director.EntryAdded{Name: c.Entry})
@@ -142,6 +141,29 @@
 	return set
 }
 
+// takeOut takes a data centre out or brings it back. Its backend servers may have turned cold while
+// it was out, so those of services that declare a cold start count as cold until they announce
+// themselves again.
+func (m *Machine) takeOut(c TakeOut) {
+	if m.directory.IsTakenOut(c.DataCentre) == c.TakenOut {
+		return
+	}
+	if !c.TakenOut {
+		coldStarts := make(map[string]time.Duration)
+		for _, service := range m.declared.Services {
+			if service.ColdRate > 0 {
+				coldStarts[service.Name] = service.ColdStart
+			}
+		}
+		for _, server := range m.directory.Servers() {
+			if coldStart := coldStarts[server.Service]; server.DataCentre == c.DataCentre && server.IsLive() && coldStart > 0 {
+				m.applyChange(director.ServerChanged{Server: server.WithColdStart(coldStart)})
+			}
+		}
+	}
+	m.applyChange(director.DataCentreChanged{Name: c.DataCentre, TakenOut: c.TakenOut})
+}
+
 // declare applies a declaration. One that is not newer than the current one is ignored.
 func (m *Machine) declare(d director.Declaration) {
 	if d.Version <= m.declared.Version {
--- a/shared/models/director/server.go
+++ b/shared/models/director/server.go
@@ -114,6 +114,12 @@
 // IsCold reports whether the backend server announced a cold start.
 func (s Server) IsCold() bool { return s.ColdStart > 0 }
 
+// WithColdStart returns a copy with another duration of the cold start.
+func (s Server) WithColdStart(duration time.Duration) Server {
+	s.ColdStart = duration
+	return s
+}
+
 // WithState returns a copy with another state.
 func (s Server) WithState(state State) Server {
 	s.State = state
