--- a/control/routers/broadcaster/broadcaster_test.go
+++ b/control/routers/broadcaster/broadcaster_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	f := &fixture{t: t, machine: service.NewMachine(), index: 4, counters: reporter.NewCounters(), clock: timer.NewFake(time.Unix(1000, 0))}
 	f.apply(service.TakeOut{DataCentre: "kano-a", TakenOut: true})
-	s := service.NewService(service.Settings{}, &replica{status: status}, func() *service.Machine { return f.machine }, silentLeader{}, timer.NewSystem(), log.Discard())
+	s := service.NewService(service.Settings{}, &replica{status: status}, f.machine, silentLeader{}, timer.NewSystem(), log.Discard())
 	f.Broadcaster = New(s, f.clock, f.counters)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -133,37 +132,6 @@
 	return nil
 }
 
-func setOf(tokens []director.Token) map[director.Token]bool {
-	set := make(map[director.Token]bool, len(tokens))
-	for _, token := range tokens {
-		set[token] = true
-	}
-	return set
-}
-
-// takeOut takes a data centre out or brings it back. Its backend servers may have turned cold while
-// it was out, so those of services that declare a cold start count as cold until they announce
-// themselves again.
-func (m *Machine) takeOut(c TakeOut) {
-	if m.directory.IsTakenOut(c.DataCentre) == c.TakenOut {
-		return
-	}
-	if !c.TakenOut {
-		coldStarts := make(map[string]time.Duration)
-		for _, service := range m.declared.Services {
-			if service.ColdRate > 0 {
-				coldStarts[service.Name] = service.ColdStart
-			}
-		}
-		for _, server := range m.directory.Servers() {
-			if coldStart := coldStarts[server.Service]; server.DataCentre == c.DataCentre && server.IsLive() && coldStart > 0 {
-				m.applyChange(director.ServerChanged{Server: server.WithColdStart(coldStart)})
-			}
-		}
-	}
-	m.applyChange(director.DataCentreChanged{Name: c.DataCentre, TakenOut: c.TakenOut})
-}
-
 // declare applies a declaration. One that is not newer than the current one is ignored.
 func (m *Machine) declare(d director.Declaration) {
 	if d.Version <= m.declared.Version {
@@ -227,7 +195,7 @@
 		server = server.WithState(director.StateDraining)
 	}
 	known, ok := m.directory.Server(m.byHost[server.Host])
-	isSame := ok && isSameStart(known, server) && !m.hasEndedUnproven(known)
+	isSame := ok && isSameStart(known, server) && !m.isPresumedGone(known)
 	switch {
 	case ok && server.Incarnation < known.Incarnation:
 		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: "a later start has announced itself"}
@@ -341,14 +309,15 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	known, ok := m.directory.Server(m.byHost[a.Server.Host])
-	if !ok || !isSameStart(known, a.Server) || m.hasEndedUnproven(known) {
+	if !ok || !isSameStart(known, a.Server) || m.isPresumedGone(known) {
 		return 0, false
 	}
 	state := director.StateReady
 	if a.Draining {
 		state = director.StateDraining
 	}
-	return known.Token, !m.withdrawn[known.Token] && !m.silent[known.Token] && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
+	isMarked := m.withdrawn[known.Token] || m.silent[known.Token]
+	return known.Token, !isMarked && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
 }
 
 // HasEntry reports whether an entry was added by Enlist.
@@ -418,3 +387,11 @@
 	m.changed = make(chan struct{})
 	return nil
 }
+
+func setOf(tokens []director.Token) map[director.Token]bool {
+	set := make(map[director.Token]bool, len(tokens))
+	for _, token := range tokens {
+		set[token] = true
+	}
+	return set
+}
--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -108,7 +108,7 @@
 	if err := s.currentGate.wait(ctx, s.IsCurrent); err != nil {
 		return err
 	}
-	if token, ok := s.machine().IsKnown(a); ok {
+	if token, ok := s.machine.IsKnown(a); ok {
 		return s.recordRenewal(token)
 	}
 	done := make(chan error, 1)
@@ -127,7 +127,7 @@
 // the outcome. It returns false if the queue for the leader is full. An entry is queued at
 // most once, however often it polls, so that announcements find room in the queue.
 func (s *Service) Enlist(entry string) bool {
-	if s.machine().HasEntry(entry) {
+	if s.machine.HasEntry(entry) {
 		return true
 	}
 	s.mu.Lock()
@@ -199,7 +199,7 @@
 			registration.Announcements = append(registration.Announcements, item.announcement)
 			waiting = append(waiting, item)
 		case forwardedEntry:
-			if !s.machine().HasEntry(item.entry) {
+			if !s.machine.HasEntry(item.entry) {
 				registration.Entries = append(registration.Entries, item.entry)
 			}
 		}
@@ -284,7 +284,7 @@
 }
 
 func (s *Service) enlist(ctx context.Context, entry string) {
-	if s.machine().HasEntry(entry) {
+	if s.machine.HasEntry(entry) {
 		return
 	}
 	if err := s.propose(ctx, Enlist{Entry: entry}); err != nil {
@@ -301,9 +301,9 @@
 	var command Announce
 	var positions []int
 	for i, a := range announcements {
-		if declared := s.machine().Declared(); !declared.HasService(a.Server.Service) {
+		if declared := s.machine.Declared(); !declared.HasService(a.Server.Service) {
 			result.Refusals = append(result.Refusals, Refusal{Position: i, Service: a.Server.Service, Version: declared.Version})
-		} else if token, ok := s.machine().IsKnown(a); ok {
+		} else if token, ok := s.machine.IsKnown(a); ok {
 			s.renewLeases([]director.Token{token})
 		} else {
 			command.Announcements, positions = append(command.Announcements, a), append(positions, i)
@@ -318,7 +318,7 @@
 		return nil, err
 	}
 	for i, a := range command.Announcements {
-		token, ok := s.machine().IsKnown(a)
+		token, ok := s.machine.IsKnown(a)
 		reason := ""
 		if ok {
 			s.renewLeases([]director.Token{token})
--- a/control/services/director/registration_test.go
+++ b/control/services/director/registration_test.go
@@ -58,7 +58,7 @@
 	followerReplica := &replica{machine: p.replica.machine, status: replicator.Status{
 		Role: replicator.RoleFollower, HasQuorum: true, CaughtUpIndex: 1, AppliedIndex: 1, LeaderAddress: addressB, Membership: members(3),
 	}}
-	p.follower = NewService(Settings{Lease: lease, MinVoters: 3}, followerReplica, func() *Machine { return p.replica.machine }, p.link, p.clock, discard.Discard())
+	p.follower = NewService(Settings{Lease: lease, MinVoters: 3}, followerReplica, p.replica.machine, p.link, p.clock, discard.Discard())
 	startForwarding(t, p.follower)
 	p.declare()
 	return p
@@ -160,7 +160,7 @@
 func TestEntriesLeaveRoomForAnnouncements(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
-	s := NewService(Settings{Lease: lease, MinVoters: 3}, f.replica, func() *Machine { return f.replica.machine }, nil, f.clock, discard.Discard())
+	s := NewService(Settings{Lease: lease, MinVoters: 3}, f.replica, f.replica.machine, nil, f.clock, discard.Discard())
 	for range 100 {
 		for i := range 300 {
 			require.True(t, s.Enlist(fmt.Sprint("entry-", i)))
@@ -192,7 +192,7 @@
 	t.Parallel()
 	f := newFixture(t)
 	f.declare()
-	s := NewService(Settings{Lease: lease, MinVoters: 3}, stalledEnlisting{f.replica}, func() *Machine { return f.replica.machine }, nil, f.clock, discard.Discard())
+	s := NewService(Settings{Lease: lease, MinVoters: 3}, stalledEnlisting{f.replica}, f.replica.machine, nil, f.clock, discard.Discard())
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	result, err := s.Register(ctx, &Registration{
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -40,7 +40,7 @@
 type Service struct {
 	settings Settings
 	replica  replicator.Proposer
-	machine  func() *Machine
+	machine  *Machine
 	leader   LeaderClient
 	clock    timer.Service
 	logger   *slog.Logger
@@ -66,8 +66,8 @@
 	enlisting map[string]struct{}
 }
 
-// NewService returns a Service. The result of machine may change when the replica restarts.
-func NewService(settings Settings, replica replicator.Proposer, machine func() *Machine, leader LeaderClient, clock timer.Service, logger *slog.Logger) *Service {
+// NewService returns a Service.
+func NewService(settings Settings, replica replicator.Proposer, machine *Machine, leader LeaderClient, clock timer.Service, logger *slog.Logger) *Service {
 	return &Service{
 		settings: settings, replica: replica, machine: machine, leader: leader, clock: clock, logger: logger,
 		forwardQueue: buffer.NewRing[forwardItem](forwardCapacity), currentGate: newGate(clock),
@@ -91,7 +91,7 @@
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return director.Declaration{}, fmt.Errorf("read the declaration: %w", err)
 	}
-	return s.machine().Declared(), nil
+	return s.machine.Declared(), nil
 }
 
 // TakeOut takes a data centre out of use or brings it back. Errors are those of replicator.Proposer.
@@ -128,7 +128,7 @@
 }
 
 // Machine returns the replicated state machine.
-func (s *Service) Machine() *Machine { return s.machine() }
+func (s *Service) Machine() *Machine { return s.machine }
 
 // Replicas returns the gRPC addresses of all replicas.
 func (s *Service) Replicas() []netip.AddrPort {
@@ -217,9 +217,9 @@
 	}
 	var command Expire
 	tokens := make(map[director.Token]bool)
-	for _, server := range s.machine().Servers() {
+	for _, server := range s.machine.Servers() {
 		tokens[server.Token] = true
-		if s.machine().HasLease(server) {
+		if s.machine.HasLease(server) {
 			delete(s.goneSince, server.Token)
 			if now.Sub(latest(s.renewedAt[server.Token], s.leasesRestartedAt)) > s.settings.Lease {
 				command.Lapsed = append(command.Lapsed, server.Token)
--- a/control/services/director/service_test.go
+++ b/control/services/director/service_test.go
@@ -56,7 +56,7 @@
 	t.Helper()
 	f := &fixture{t: t, replica: &replica{machine: NewMachine()}, clock: timer.NewFake(time.Unix(1000, 0))}
 	f.replica.status = replicator.Status{Role: replicator.RoleLeader, HasQuorum: true, CaughtUpIndex: 1, AppliedIndex: 1, Membership: members(3)}
-	f.service = NewService(Settings{Lease: lease, MinVoters: 3}, f.replica, func() *Machine { return f.replica.machine }, nil, f.clock, discard.Discard())
+	f.service = NewService(Settings{Lease: lease, MinVoters: 3}, f.replica, f.replica.machine, nil, f.clock, discard.Discard())
 	startForwarding(t, f.service)
 	return f
 }
--- a/control/services/director/withdrawal.go
+++ b/control/services/director/withdrawal.go
@@ -7,9 +7,9 @@
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Service == b.Service
 }
 
-// hasEndedUnproven reports whether a backend server counts as gone although its withdrawal may
-// have been that of an earlier start. An announcement then shows that it runs.
-func (m *Machine) hasEndedUnproven(server director.Server) bool {
+// isPresumedGone reports whether a backend server counts as gone although its withdrawal may have
+// been that of an earlier start. An announcement then shows that it runs.
+func (m *Machine) isPresumedGone(server director.Server) bool {
 	return server.State == director.StateGone && m.withdrawn[server.Token]
 }
 
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -49,8 +49,9 @@
 		return false
 	}
 	// An uncommitted membership may still be replaced by the one before.
+	committed := m.committedMembershipIndex()
 	for _, at := range m.memberships {
-		if at.index >= m.committedMembershipIndex() && at.membership.IsVoter(m.id) && at.membership.Voters() < len(at.membership.Members) {
+		if at.index >= committed && at.membership.IsVoter(m.id) && at.membership.Voters() < len(at.membership.Members) {
 			return true
 		}
 	}
--- a/control/services/supervisor/supervisor.go
+++ b/control/services/supervisor/supervisor.go
@@ -63,7 +63,8 @@
 // New returns a Supervisor that has no running replica until Open or Run is called.
 func New(options Options) *Supervisor { return &Supervisor{options: options} }
 
-// Run opens a replica, unless Open has done so, and keeps it running. It closes the replica and returns when ctx ends.
+// Run opens a replica, unless Open has done so, and keeps it running. It closes the replica and
+// returns when ctx ends.
 func (s *Supervisor) Run(ctx context.Context) {
 	ticks := s.options.Timer.Subscribe("replica supervisor", checkPeriod)
 	defer ticks.Cancel()
