Log why a backend server counts as gone

The leader logged announcements, withdrawals and expired leases, but no line said that one of them made a backend server gone, nor which start superseded it. Each replica now logs such a transition with its cause and the start behind it, 20 lines a second at most, and rwctl explain shows it. No decision changes.

--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -47,6 +47,8 @@
 	changed        chan struct{}
 	// pending holds the changes of the command that is being applied.
 	pending []director.Change
+	// observeTransition, if set, is called with each transition.
+	observeTransition func(Transition)
 }
 
 var _ replicator.Applier = (*Machine)(nil)
@@ -175,7 +177,7 @@
 		}
 		for _, other := range superseded {
 			m.clearMarks(other.Token)
-			m.applyChange(director.ServerChanged{Server: other.WithState(director.StateGone)})
+			m.changeState(other, director.StateGone, CauseSuperseded, server)
 		}
 		m.clearMarks(server.Token)
 		if known, ok := m.directory.Server(server.Token); ok && known == server {
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -68,12 +68,14 @@
 
 // NewService returns a Service.
 func NewService(settings Settings, replica replicator.Proposer, machine *Machine, leader LeaderClient, clock timer.Service, logger *slog.Logger) *Service {
-	return &Service{
+	s := &Service{
 		settings: settings, replica: replica, machine: machine, leader: leader, clock: clock, logger: logger,
 		forwardQueue: buffer.NewRing[forwardItem](forwardCapacity), currentGate: newGate(clock),
 		renewedAt: make(map[director.Token]time.Time), goneSince: make(map[director.Token]time.Time),
 		unreported: make(map[director.Token]struct{}), enlisting: make(map[string]struct{}),
 	}
+	machine.ObserveTransitions(s.newTransitionLogger())
+	return s
 }
 
 // Declare commits a declaration, which takes effect unless the current one is as new or
--- a/control/services/director/withdrawal.go
+++ b/control/services/director/withdrawal.go
@@ -45,9 +45,7 @@
 		state = director.StateDraining
 		m.withdrawn[known.Token] = true
 	}
-	if known.State != state {
-		m.applyChange(director.ServerChanged{Server: known.WithState(state)})
-	}
+	m.changeState(known, state, CauseWithdrawn, director.Server{})
 }
 
 func (m *Machine) expire(c Expire) {
@@ -56,7 +54,7 @@
 		switch {
 		case !ok || !s.IsLive():
 		case m.withdrawn[token]:
-			m.applyChange(director.ServerChanged{Server: s.WithState(director.StateGone)})
+			m.changeState(s, director.StateGone, CauseExpired, director.Server{})
 		case s.State == director.StateDraining:
 			m.silent[token] = true
 		default:
--- a/rwctl/services/explainer/explain.go
+++ b/rwctl/services/explainer/explain.go
@@ -105,13 +105,13 @@
 	return line.Fields[log.FieldCaller] != "" && (s.hosts[line.Fields[log.FieldHost]] || s.tokens[line.Fields[log.FieldToken]])
 }
 
-// isAboutServer reports whether the line is an announcement, a withdrawal or a lease expiry of a
-// backend server of the subject, or an announcement of another one at one of its addresses.
+// isAboutServer reports whether the line is an announcement, a withdrawal, a transition or a lease
+// expiry of a backend server of the subject, or an announcement of another one at one of its addresses.
 func (s subject) isAboutServer(line Line) bool {
 	switch line.Message {
 	case "announcement received":
 		return s.hosts[line.Fields[log.FieldHost]] || s.addresses[line.Fields[log.FieldAddress]]
-	case "withdrawal received":
+	case "withdrawal received", "backend server changed":
 		return s.hosts[line.Fields[log.FieldHost]]
 	case "leases expired":
 		return slices.ContainsFunc(strings.Fields(strings.Trim(line.Fields["tokens"], "[]")), func(t string) bool { return s.tokens[t] })
