Let a backend server be gone only once its successor has outlived its lease

Callers saw resets of open flows at backend servers that lived, and the requests on them were lost. Entries reset the flows of a record that is gone; control set that state from things that prove nothing: a withdrawal without a start followed by a lease that ran out behind a cut, a withdrawal with its start whose acknowledgement was lost, and a single announcement of another start of the host or at its address, which another writer may have sent. Nothing that the backend server announced afterwards was believed: it was refused or got another token.

A withdrawal and an expired lease now only end new flows, and so does a later start that announces itself. The earlier start is gone once the later one announces itself again after the lease of the earlier one has expired. An announcement of the earlier start disproves even that, with the same token; it gets new flows once the later start has no lease. A start that has never announced itself is refused only while a later one has a lease or has announced its end, not for 70 s after a single odd announcement. Records and their indexes by host and address now hold all starts, so that the later ones of an odd announcement don't hide the live one.

--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -31,16 +30,9 @@
 	nextToken director.Token
 	directory *director.Directory
 	declared  director.Declaration
-	// byHost maps a host to its newest start, and byAddress an address to the backend
-	// server there that has not stopped.
-	byHost    map[string]director.Token
-	byAddress map[netip.AddrPort]director.Token
-	// withdrawn holds the backend servers whose withdrawal may have been that of an earlier start.
-	withdrawn map[director.Token]bool
-	// silent holds the draining backend servers whose lease has expired. Entries know them as
-	// draining, because they must still get no new flows.
-	silent  map[director.Token]bool
-	history []changeSet
+	starts    startIndex
+	marks     map[director.Token]marks
+	history   []changeSet
 	// compactedIndex is the highest index whose changes history may lack; later ones
 	// are complete.
 	compactedIndex uint64
@@ -56,8 +48,7 @@
 // NewMachine returns an empty Machine.
 func NewMachine() *Machine {
 	return &Machine{
-		nextToken: 1, directory: director.NewDirectory(), byHost: make(map[string]director.Token), byAddress: make(map[netip.AddrPort]director.Token),
-		withdrawn: make(map[director.Token]bool), silent: make(map[director.Token]bool), changed: make(chan struct{}),
+		nextToken: 1, directory: director.NewDirectory(), starts: newStartIndex(), marks: make(map[director.Token]marks), changed: make(chan struct{}),
 	}
 }
 
@@ -92,26 +83,17 @@
 func (m *Machine) applyChange(change director.Change) {
 	switch c := change.(type) {
 	case director.ServerChanged:
-		updateAddressIndex(m.byAddress, c.Server)
+		m.starts.add(c.Server)
 	case director.ServerRemoved:
-		if s, ok := m.directory.Server(c.Token); ok {
-			updateAddressIndex(m.byAddress, s.WithState(director.StateGone))
+		if server, ok := m.directory.Server(c.Token); ok {
+			m.starts.remove(server)
 		}
+		delete(m.marks, c.Token)
 	}
 	m.directory.Apply(change)
 	m.pending = append(m.pending, change)
 }
 
-// updateAddressIndex updates byAddress for a changed backend server. The previous
-// backend server at an address is marked as gone before another one is recorded there.
-func updateAddressIndex(byAddress map[netip.AddrPort]director.Token, server director.Server) {
-	if server.State != director.StateGone {
-		byAddress[server.Address] = server.Token
-	} else if byAddress[server.Address] == server.Token {
-		delete(byAddress, server.Address)
-	}
-}
-
 func (m *Machine) apply(command Command) error {
 	switch c := command.(type) {
 	case Declare:
@@ -165,82 +147,6 @@
 	m.applyChange(director.VersionChanged{Version: d.Version, IdleTimeout: d.IdleTimeout})
 }
 
-// announce records announcements. Stale ones are skipped; the error is that of the
-// last of them.
-func (m *Machine) announce(announcements []Announcement) error {
-	var stale error
-	for _, a := range announcements {
-		server, superseded, err := m.resolve(a)
-		if err != nil {
-			stale = err
-			continue
-		}
-		for _, other := range superseded {
-			m.clearMarks(other.Token)
-			m.changeState(other, director.StateGone, CauseSuperseded, server)
-		}
-		m.clearMarks(server.Token)
-		if known, ok := m.directory.Server(server.Token); ok && known == server {
-			continue
-		}
-		m.byHost[server.Host] = server.Token
-		m.applyChange(director.ServerChanged{Server: server})
-	}
-	return stale
-}
-
-// resolve returns the record that results from an announcement, and the backend
-// servers that it supersedes: the announcement shows that they have stopped.
-func (m *Machine) resolve(a Announcement) (director.Server, []director.Server, error) {
-	server := a.Server.WithState(director.StateReady)
-	if a.Draining {
-		server = server.WithState(director.StateDraining)
-	}
-	known, ok := m.directory.Server(m.byHost[server.Host])
-	isSame := ok && isSameStart(known, server) && !m.isPresumedGone(known)
-	switch {
-	case ok && server.Incarnation < known.Incarnation:
-		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: "a later start has announced itself"}
-	case isSame && known.State == director.StateGone:
-		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: "it has ended"}
-	case isSame && server.Sequence < known.Sequence:
-		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: fmt.Sprintf("sequence %d is before %d", server.Sequence, known.Sequence)}
-	case isSame && known.State == director.StateDraining && !a.Draining && server.Sequence == known.Sequence:
-		return server, nil, ErrStaleAnnouncement{Host: server.Host, Reason: "it is draining"}
-	}
-	if isSame {
-		server.Token = known.Token
-		if known.State == server.State && known.IsCold() == server.IsCold() {
-			// Only the sequence and the remaining time of the cold start differ.
-			return known, nil, nil
-		}
-		return server, nil, nil
-	}
-	superseded, err := m.findSuperseded(server)
-	if err != nil {
-		return server, nil, err
-	}
-	if ok && known.State != director.StateGone && !slices.Contains(superseded, known) {
-		superseded = append(superseded, known)
-	}
-	server.Token = m.nextToken
-	m.nextToken++
-	return server, superseded, nil
-}
-
-// findSuperseded returns the backend server that held the address of a new one, if
-// any. It returns ErrStaleAnnouncement if that one started later.
-func (m *Machine) findSuperseded(server director.Server) ([]director.Server, error) {
-	other, ok := m.directory.Server(m.byAddress[server.Address])
-	if !ok {
-		return nil, nil
-	}
-	if server.Incarnation < other.Incarnation {
-		return nil, ErrStaleAnnouncement{Host: server.Host, Reason: fmt.Sprintf("%s has been announced by %q, which started later", server.Address, other.Host)}
-	}
-	return []director.Server{other}, nil
-}
-
 // Declared returns the current declaration.
 func (m *Machine) Declared() director.Declaration {
 	m.mu.RLock()
@@ -305,23 +211,6 @@
 	return m.index > 0 && (index == 0 || index < m.compactedIndex || m.findChangeSet(index) < len(m.history))
 }
 
-// IsKnown returns the token of the recorded backend server, and whether an
-// announcement would leave the state unchanged, so that renewing the lease is enough.
-func (m *Machine) IsKnown(a Announcement) (director.Token, bool) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	known, ok := m.directory.Server(m.byHost[a.Server.Host])
-	if !ok || !isSameStart(known, a.Server) || m.isPresumedGone(known) {
-		return 0, false
-	}
-	state := director.StateReady
-	if a.Draining {
-		state = director.StateDraining
-	}
-	isMarked := m.withdrawn[known.Token] || m.silent[known.Token]
-	return known.Token, !isMarked && known.State == state && known.IsCold() == a.Server.IsCold() && a.Server.Sequence >= known.Sequence
-}
-
 // HasEntry reports whether an entry was added by Enlist.
 func (m *Machine) HasEntry(entry string) bool {
 	m.mu.RLock()
@@ -336,8 +225,29 @@
 	NextToken director.Token       `cbor:"next_token"`
 	Declared  director.Declaration `cbor:"declared"`
 	Changes   []director.Body      `cbor:"changes"`
-	Withdrawn []director.Token     `cbor:"withdrawn,omitempty"`
-	Silent    []director.Token     `cbor:"silent,omitempty"`
+	Marks     []markedStart        `cbor:"marks,omitempty"`
+	// Paused and Silent were written in place of Marks by earlier versions.
+	Paused []director.Token `cbor:"withdrawn,omitempty"`
+	Silent []director.Token `cbor:"silent,omitempty"`
+}
+
+// storedMarks returns the marks of a snapshot by token.
+func (s storedState) storedMarks() map[director.Token]marks {
+	stored := make(map[director.Token]marks, len(s.Marks))
+	for _, start := range s.Marks {
+		stored[start.Token] = start.Marks
+	}
+	for _, token := range s.Paused {
+		known := stored[token]
+		known.IsPaused = true
+		stored[token] = known
+	}
+	for _, token := range s.Silent {
+		known := stored[token]
+		known.IsSilent = true
+		stored[token] = known
+	}
+	return stored
 }
 
 // snapshotFormat is the version of the snapshot encoding.
@@ -349,7 +259,7 @@
 	defer m.mu.RUnlock()
 	s := storedState{
 		Format: snapshotFormat, Index: m.index, NextToken: m.nextToken, Declared: m.declared,
-		Withdrawn: slices.Sorted(maps.Keys(m.withdrawn)), Silent: slices.Sorted(maps.Keys(m.silent)),
+		Marks: m.markedStarts(),
 	}
 	for _, change := range m.directory.Changes() {
 		s.Changes = append(s.Changes, director.Wrap(change))
@@ -370,30 +280,19 @@
 	if s.Format != snapshotFormat {
 		return fmt.Errorf("decode a snapshot: unknown format %d", s.Format)
 	}
-	directory, byHost, byAddress := director.NewDirectory(), make(map[string]director.Token), make(map[netip.AddrPort]director.Token)
+	directory, starts := director.NewDirectory(), newStartIndex()
 	for _, body := range s.Changes {
 		change := body.Unwrap()
 		directory.Apply(change)
 		if c, ok := change.(director.ServerChanged); ok {
-			// Changes are in the order of tokens, so the newest start of a host comes last.
-			byHost[c.Server.Host] = c.Server.Token
-			updateAddressIndex(byAddress, c.Server)
+			starts.add(c.Server)
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.withdrawn, m.silent = setOf(s.Withdrawn), setOf(s.Silent)
-	m.index, m.nextToken, m.declared, m.directory, m.byHost, m.byAddress = s.Index, s.NextToken, s.Declared, directory, byHost, byAddress
+	m.index, m.nextToken, m.declared, m.directory, m.starts, m.marks = s.Index, s.NextToken, s.Declared, directory, starts, s.storedMarks()
 	m.history, m.compactedIndex = nil, s.Index
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
 }
-
-func setOf(tokens []director.Token) map[director.Token]bool {
-	set := make(map[director.Token]bool, len(tokens))
-	for _, token := range tokens {
-		set[token] = true
-	}
-	return set
-}
--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -318,7 +318,7 @@
 		return nil, err
 	}
 	for i, a := range command.Announcements {
-		token, ok := s.machine.IsKnown(a)
+		token, ok := s.machine.IsRecorded(a)
 		reason := ""
 		if ok {
 			s.renewLeases([]director.Token{token})
--- /dev/null
+++ b/control/services/director/simulation_test.go
@@ -0,0 +1,188 @@
+package director
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingledge/redwingledge/shared/models/director"
+)
+
+const (
+	simulatedHosts    = 6
+	simulatedStep     = 100 * time.Millisecond
+	simulatedInterval = 1200 * time.Millisecond
+)
+
+// simulatedHost is a backend server that restarts, moves to other addresses and is cut off.
+type simulatedHost struct {
+	name        string
+	address     netip.AddrPort
+	incarnation uint64
+	sequence    uint64
+	isLive      bool
+	isDraining  bool
+	cutUntil    time.Time
+	announceAt  time.Time
+}
+
+// delayedCommand is a message that arrives later than it was sent.
+type delayedCommand struct {
+	at      time.Time
+	command func() error
+}
+
+// simulation runs backend servers against one replica in virtual time. Messages are delayed and
+// repeated, and another writer sends announcements with their names and addresses, each once.
+type simulation struct {
+	*fixture
+	rng     *rand.Rand
+	hosts   []*simulatedHost
+	delayed []delayedCommand
+	odd     uint64
+}
+
+func newSimulation(t *testing.T, seed uint64) *simulation {
+	t.Helper()
+	s := &simulation{fixture: newFixture(t), rng: rand.New(rand.NewPCG(seed, 9))}
+	s.declare()
+	for i := range simulatedHosts {
+		h := &simulatedHost{name: fmt.Sprint("h", i)}
+		s.hosts = append(s.hosts, h)
+		s.startHost(h)
+	}
+	return s
+}
+
+func (s *simulation) now() uint64 { return uint64(s.clock.Now().UnixMilli()) }
+
+// startHost starts a host at an address that no live host has.
+func (s *simulation) startHost(h *simulatedHost) {
+	for {
+		h.address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(1 + s.rng.IntN(simulatedHosts+2))}), 80)
+		if !slices.ContainsFunc(s.hosts, func(other *simulatedHost) bool { return other != h && other.isLive && other.address == h.address }) {
+			break
+		}
+	}
+	h.isLive, h.isDraining, h.incarnation, h.sequence, h.announceAt = true, false, s.now(), 0, s.clock.Now()
+}
+
+// send delivers a message now or, behind a cut, late or never.
+func (s *simulation) send(h *simulatedHost, command func() error) {
+	switch {
+	case !s.clock.Now().Before(h.cutUntil):
+		_ = command() // The host does not depend on the outcome.
+	case s.rng.IntN(2) == 0:
+		s.delayed = append(s.delayed, delayedCommand{at: h.cutUntil.Add(time.Duration(s.rng.IntN(4000)) * time.Millisecond), command: command})
+	}
+}
+
+func (s *simulation) announceHost(h *simulatedHost) {
+	h.sequence++
+	h.announceAt = s.clock.Now().Add(simulatedInterval)
+	a := announce(h.name, h.address, h.incarnation, h.sequence, h.isDraining).Announcements[0]
+	s.send(h, func() error { return s.service.Announce(s.t.Context(), a) })
+}
+
+// disturb changes a random host.
+func (s *simulation) disturb() {
+	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	switch s.rng.IntN(6) {
+	case 0:
+		h.cutUntil = s.clock.Now().Add(time.Duration(s.rng.IntN(8000)) * time.Millisecond)
+	case 1:
+		h.isLive = false
+	case 2:
+		h.isDraining = true
+	case 3:
+		if h.isLive && h.isDraining {
+			s.send(h, func() error { return s.service.Withdraw(s.t.Context(), h.name, 0) })
+			h.isLive = s.rng.IntN(2) == 0
+		}
+	case 4:
+		if !h.isLive {
+			s.startHost(h)
+		}
+	case 5:
+		s.odd++
+		odd := announce(h.name, h.address, s.now()+s.odd%1000, 1, false).Announcements[0]
+		if s.rng.IntN(2) == 0 {
+			odd.Server.Host = fmt.Sprint("odd", s.odd)
+		}
+		_ = s.service.Announce(s.t.Context(), odd) // It may be refused.
+	}
+}
+
+func (s *simulation) step() {
+	s.clock.Advance(simulatedStep)
+	now := s.clock.Now()
+	due := func(d delayedCommand) bool { return !now.Before(d.at) }
+	for _, d := range s.delayed {
+		if due(d) {
+			_ = d.command() // A late message may be refused.
+		}
+	}
+	s.delayed = slices.DeleteFunc(s.delayed, due)
+	for _, h := range s.hosts {
+		if h.isLive && !now.Before(h.announceAt) {
+			s.announceHost(h)
+		}
+	}
+	s.service.sweep(s.t.Context())
+}
+
+// record returns the record of a host's current start.
+func (s *simulation) record(h *simulatedHost) (director.Server, bool) {
+	return s.replica.machine.findStart(announce(h.name, h.address, h.incarnation, 1, false).Announcements[0].Server)
+}
+
+// Guards against a live backend server whose open flows are reset, or that gets no new flows for
+// good, whatever arrives late, twice or from another writer.
+func TestLiveServersKeepTheirFlows(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(t, seed)
+			for i := range 1500 {
+				s.step()
+				if i%7 == 0 {
+					s.disturb()
+				}
+				for _, h := range s.hosts {
+					if server, ok := s.record(h); ok && h.isLive {
+						require.NotEqual(t, director.StateGone, server.State, "step %d: %s", i, h.name)
+					}
+				}
+				requireStartIndex(t, s.replica.machine)
+			}
+			s.requireRecovery()
+		})
+	}
+}
+
+// requireRecovery checks that all live hosts get new flows once nothing disturbs them.
+func (s *simulation) requireRecovery() {
+	s.t.Helper()
+	for _, h := range s.hosts {
+		h.cutUntil = time.Time{}
+		if h.isDraining {
+			h.isLive = false
+		}
+	}
+	for range int(4 * lease / simulatedStep) {
+		s.step()
+	}
+	for _, h := range s.hosts {
+		if server, ok := s.record(h); h.isLive {
+			require.True(s.t, ok, h.name)
+			require.Equal(s.t, director.StateReady.String(), server.State.String(), h.name)
+		}
+	}
+}
--- a/control/services/director/succession_test.go
+++ b/control/services/director/succession_test.go
@@ -29,6 +29,7 @@
 		"one announcement of its host at another address":           {announce("h1", addressB, 100, 1, false)},
 		"one announcement at its address and a lease that expires":  {announce("h2", addressA, 200, 1, false), expire},
 		"one announcement at its address after a lease has expired": {expire, announce("h2", addressA, 200, 1, false)},
+		"two announcements at its address while it has a lease":     {announce("h2", addressA, 200, 1, false), announce("h2", addressA, 200, 2, false)},
 		"a copy of the announcement at its address":                 {expire, announce("h2", addressA, 200, 1, false), announce("h2", addressA, 200, 1, false)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,6 +84,7 @@
 			l.mustApply(Expire{Lapsed: []director.Token{1}})
 			l = l.restart()
 			l.mustApply(successor(2))
+			l = l.restart()
 			l.requireToken(1, director.StateGone)
 			l.requireToken(2, director.StateReady)
 		})
--- a/control/services/director/transition.go
+++ b/control/services/director/transition.go
@@ -18,8 +18,6 @@
 	CauseSuperseded Cause = iota + 1
 	// CauseWithdrawn is a withdrawal of its host.
 	CauseWithdrawn
-	// CauseExpired is a lease that expired after a withdrawal.
-	CauseExpired
 )
 
 // String returns the name of the cause, as logs show it.
@@ -29,8 +27,6 @@
 		return "superseded"
 	case CauseWithdrawn:
 		return "withdrawn"
-	case CauseExpired:
-		return "lease expired after its withdrawal"
 	default:
 		return "unknown"
 	}
--- a/control/services/director/withdrawal.go
+++ b/control/services/director/withdrawal.go
@@ -2,74 +2,29 @@
 
 import "github.com/redwingledge/redwingledge/shared/models/director"
 
-// isSameStart reports whether two records describe the same start of a backend server.
-func isSameStart(a, b director.Server) bool {
-	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Service == b.Service
-}
-
-// isPresumedGone reports whether a backend server counts as gone although its withdrawal may have
-// been that of an earlier start. An announcement then shows that it runs.
-func (m *Machine) isPresumedGone(server director.Server) bool {
-	return server.State == director.StateGone && m.withdrawn[server.Token]
-}
-
-// hasLease reports whether the lease of a backend server may still expire.
-func (m *Machine) hasLease(server director.Server) bool {
-	return server.IsLive() && !m.silent[server.Token]
-}
-
-// HasLease reports whether the lease of a backend server may still expire.
-func (m *Machine) HasLease(server director.Server) bool {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return m.hasLease(server)
-}
-
-// clearMarks deletes what is recorded about the silence of a backend server.
-func (m *Machine) clearMarks(token director.Token) {
-	delete(m.withdrawn, token)
-	delete(m.silent, token)
-}
-
-// withdraw records that a backend server has stopped. A withdrawal that does not name the start may
-// be late and belong to an earlier one, so the backend server only gets no new flows until it
-// announces itself again, and is gone once its lease has expired.
+// withdraw records that a backend server is about to stop. It gets no new flows. If the withdrawal
+// does not name the start, it may be late and belong to an earlier one, and the next announcement
+// takes it back.
 func (m *Machine) withdraw(c Withdraw) {
-	known, ok := m.directory.Server(m.byHost[c.Host])
-	if !ok || known.State == director.StateGone || (c.Incarnation != 0 && c.Incarnation != known.Incarnation) {
+	server, ok := m.findWithdrawn(c)
+	if !ok || server.State == director.StateGone {
 		return
 	}
-	state := director.StateGone
-	m.clearMarks(known.Token)
-	if c.Incarnation == 0 {
-		state = director.StateDraining
-		m.withdrawn[known.Token] = true
+	known := m.marks[server.Token]
+	if c.Incarnation != 0 {
+		known.HasLeft, known.IsSilent = true, true
 	}
-	m.changeState(known, state, CauseWithdrawn, director.Server{})
+	m.pause(server, known, CauseWithdrawn, director.Server{})
 }
 
-func (m *Machine) expire(c Expire) {
-	for _, token := range c.Lapsed {
-		s, ok := m.directory.Server(token)
-		switch {
-		case !ok || !s.IsLive():
-		case m.withdrawn[token]:
-			m.changeState(s, director.StateGone, CauseExpired, director.Server{})
-		case s.State == director.StateDraining:
-			m.silent[token] = true
-		default:
-			m.applyChange(director.ServerChanged{Server: s.WithState(director.StateLapsed)})
-		}
-	}
-	for _, token := range c.Forget {
-		s, ok := m.directory.Server(token)
-		if !ok || m.hasLease(s) {
-			continue
-		}
-		if m.byHost[s.Host] == token {
-			delete(m.byHost, s.Host)
+// findWithdrawn returns the start that a withdrawal names, or else the latest start of its host.
+func (m *Machine) findWithdrawn(c Withdraw) (director.Server, bool) {
+	var latest director.Server
+	for _, token := range m.starts.byHost[c.Host] {
+		server, ok := m.directory.Server(token)
+		if ok && (c.Incarnation == 0 || c.Incarnation == server.Incarnation) && (latest.Token == 0 || isLater(server, latest)) {
+			latest = server
 		}
-		m.clearMarks(token)
-		m.applyChange(director.ServerRemoved{Token: token})
 	}
+	return latest, latest.Token != 0
 }
