Log and count what tells resets and moved flows apart

The line `packet not forwarded` had only the token and the reason. It now has the host and data centre of the record that the token names, the copy and whether this entry knew the flow as established. Resets are counted by reason, apart for first opening packets, their copies and open flows. Packets of an established flow that go to another backend server are counted (flows_moved) and logged, 10 a second.

--- a/entry/routers/dispatcher/dispatcher.go
+++ b/entry/routers/dispatcher/dispatcher.go
@@ -62,6 +62,11 @@
 
 	received, forwarded, resets, malformed, panicked, sendErrors *expvar.Int
 	refused, placed                                              *expvar.Map
+	// resetOpening, resetCopies and resetOpen count resets by reason: those that answer the first
+	// opening packet of a flow, a copy of one, and a packet of an open flow.
+	resetOpening, resetCopies, resetOpen *expvar.Map
+	// moved counts packets of flows that were established at another backend server.
+	moved *expvar.Int
 }
 
 // Listen binds the address for the packets of callers.
@@ -79,10 +84,15 @@
 		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
 		panicked:   counters.Int("packets_panicked"),
 		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
-		placed: counters.Map("flows_placed"),
+		placed:       counters.Map("flows_placed"),
+		resetOpening: counters.Map("packets_reset_opening"), resetCopies: counters.Map("packets_reset_copy"),
+		resetOpen: counters.Map("packets_reset_open"), moved: counters.Int("flows_moved"),
 	}, nil
 }
 
+// Addr returns the address for the packets of callers.
+func (d *Dispatcher) Addr() net.Addr { return d.conn.LocalAddr() }
+
 // Run forwards packets until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	d.running.Add(1)
@@ -149,6 +159,9 @@
 	if verdict.Placement.IsNew {
 		d.placed.Add(verdict.Placement.Kind(), 1)
 	}
+	if verdict.MovedFrom != 0 {
+		d.moved.Add(1)
+	}
 	d.recorder.record(packet, verdict, now)
 	switch verdict.Action {
 	case balancer.ActionForward:
@@ -164,11 +177,23 @@
 			d.sendErrors.Add(1)
 			return
 		}
+		d.countReset(packet, verdict.Reason)
 		d.send(bytes, to, d.resets)
 	case balancer.ActionDrop:
 	}
 }
 
+func (d *Dispatcher) countReset(p balancer.Packet, reason balancer.Reason) {
+	counter := d.resetOpen
+	switch {
+	case p.IsOpening && p.Retransmissions > 0:
+		counter = d.resetCopies
+	case p.IsOpening:
+		counter = d.resetOpening
+	}
+	counter.Add(reason.String(), 1)
+}
+
 func (d *Dispatcher) send(bytes []byte, to netip.AddrPort, sent *expvar.Int) {
 	if _, err := d.conn.WriteToUDPAddrPort(bytes, to); err != nil {
 		d.sendErrors.Add(1)
--- a/entry/routers/dispatcher/recorder.go
+++ b/entry/routers/dispatcher/recorder.go
@@ -18,6 +18,9 @@
 	// retryLinesPerSecond limits the log lines about flows that were placed again
 	// because a backend server did not answer.
 	retryLinesPerSecond = 10
+	// moveLinesPerSecond limits the log lines about flows whose packets carry the token of
+	// another backend server than before.
+	moveLinesPerSecond = 10
 )
 
 // recorder logs the decisions about flows, with a rate limit for each kind. Packets of
@@ -26,13 +29,14 @@
 	logger     *slog.Logger
 	placements *log.RateLimiter
 	retries    *log.RateLimiter
+	moves      *log.RateLimiter
 	refusals   map[balancer.Reason]*log.RateLimiter
 }
 
 func newRecorder(logger *slog.Logger) *recorder {
 	r := &recorder{
 		logger: logger, placements: log.NewRateLimiter(placementLinesPerSecond), retries: log.NewRateLimiter(retryLinesPerSecond),
-		refusals: make(map[balancer.Reason]*log.RateLimiter),
+		moves: log.NewRateLimiter(moveLinesPerSecond), refusals: make(map[balancer.Reason]*log.RateLimiter),
 	}
 	for _, reason := range balancer.Reasons() {
 		r.refusals[reason] = log.NewRateLimiter(refusalLinesPerSecond)
@@ -41,6 +45,9 @@
 }
 
 func (r *recorder) record(p balancer.Packet, v balancer.Verdict, now time.Time) {
+	if v.MovedFrom != 0 {
+		r.recordMove(p, v, now)
+	}
 	switch {
 	case v.Reason != balancer.ReasonNone:
 		r.recordRefusal(p, v, now)
@@ -60,12 +67,34 @@
 	}
 	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "packet not forwarded",
 		slog.String(log.FieldCaller, p.Source.String()), slog.String(log.FieldRoute, p.Destination.String()),
-		slog.Uint64(log.FieldToken, uint64(p.Token)), slog.Bool("opening", p.IsOpening),
+		slog.Uint64(log.FieldToken, uint64(p.Token)), slog.String(log.FieldHost, v.Server.Host), slog.String(log.FieldDataCentre, v.Server.DataCentre),
+		slog.Bool("opening", p.IsOpening), slog.Uint64("copy", uint64(copyNumber(p))), slog.Bool("tracked", v.IsTracked),
 		slog.String(log.FieldReason, v.Reason.String()), slog.String(log.FieldOutcome, outcome),
 		slog.Uint64(log.FieldIndex, v.View.Index), slog.Uint64(log.FieldVersion, v.View.Version),
 		slog.Duration(log.FieldAge, v.View.Age), slog.Int(log.FieldLeftOut, suppressed))
 }
 
+// copyNumber returns how many copies of an opening packet were sent before, and 0 for other packets.
+func copyNumber(p balancer.Packet) uint32 {
+	if !p.IsOpening {
+		return 0
+	}
+	return p.Retransmissions
+}
+
+func (r *recorder) recordMove(p balancer.Packet, v balancer.Verdict, now time.Time) {
+	suppressed, ok := r.moves.Allow(now)
+	if !ok {
+		return
+	}
+	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "flow moved",
+		slog.String(log.FieldCaller, p.Source.String()), slog.String(log.FieldRoute, p.Destination.String()),
+		slog.Uint64(log.FieldToken, uint64(v.Server.Token)), slog.String(log.FieldHost, v.Server.Host), slog.String(log.FieldDataCentre, v.Server.DataCentre),
+		slog.Uint64("from_token", uint64(v.MovedFrom)), slog.Bool("opening", p.IsOpening), slog.Uint64("acknowledged", uint64(p.Acknowledged)),
+		slog.Uint64(log.FieldIndex, v.View.Index), slog.Uint64(log.FieldVersion, v.View.Version),
+		slog.Duration(log.FieldAge, v.View.Age), slog.Int(log.FieldLeftOut, suppressed))
+}
+
 func (r *recorder) recordPlacement(p balancer.Packet, v balancer.Verdict, now time.Time) {
 	limiter := r.placements
 	if v.Placement.Tried != 0 {
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -124,7 +124,7 @@
 
 func (b *Balancer) decide(p Packet, now time.Time) Verdict {
 	if b.directory.Version == 0 {
-		return Verdict{Reason: ReasonNoView}
+		return b.refuse(p, ActionDrop, ReasonNoView)
 	}
 	route, ok := b.directory.Route(p.Destination)
 	if !ok {
@@ -136,37 +136,43 @@
 	server, ok := b.directory.Server(p.Token)
 	switch {
 	case !ok:
-		return Verdict{Reason: ReasonUnknownToken}
+		return b.refuse(p, ActionDrop, ReasonUnknownToken)
 	case !route.Allows(server.Service):
-		return Verdict{Reason: ReasonOtherService}
+		return b.refuse(p, ActionDrop, ReasonOtherService)
 	case server.State == director.StateGone:
+		verdict := b.refuse(p, ActionReset, ReasonServerGone)
 		b.untrack(keyOf(p), now)
-		if p.IsReset {
-			return Verdict{Reason: ReasonServerGone}
-		}
-		return Verdict{Action: ActionReset, Reason: ReasonServerGone}
+		return verdict
+	}
+	movedFrom := b.trackPacket(p, server, now)
+	return Verdict{Action: ActionForward, Server: server, MovedFrom: movedFrom}
+}
+
+// refuse returns the verdict on a packet that is not forwarded. A reset is never answered with
+// another one.
+func (b *Balancer) refuse(p Packet, action Action, reason Reason) Verdict {
+	if p.IsReset {
+		action = ActionDrop
 	}
-	b.trackPacket(p, server, now)
-	return Verdict{Action: ActionForward, Server: server}
+	server, _ := b.directory.Server(p.Token)
+	f, ok := b.flows[keyOf(p)]
+	return Verdict{Action: action, Reason: reason, Server: server, IsTracked: ok && f.isEstablished}
 }
 
 // refuseUnknownAddress resets flows to an address without a route, unless the view may be out of
 // date.
 func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
 	if now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge {
-		return Verdict{Reason: ReasonStaleView}
+		return b.refuse(p, ActionDrop, ReasonStaleView)
 	}
-	if p.IsReset {
-		return Verdict{Reason: ReasonNoRoute}
-	}
-	return Verdict{Action: ActionReset, Reason: ReasonNoRoute}
+	return b.refuse(p, ActionReset, ReasonNoRoute)
 }
 
 // openFlow places a new flow. A retransmitted opening packet goes to another backend server, as the
 // first one has not answered in time.
 func (b *Balancer) openFlow(p Packet, route director.Route, now time.Time) Verdict {
 	key := keyOf(p)
-	tried := director.Token(0)
+	tried, movedFrom := director.Token(0), director.Token(0)
 	if known, ok := b.flows[key]; ok {
 		if server, ok := b.directory.Server(known.token); ok && known.retransmissions >= p.Retransmissions && server.AcceptsNewFlows() {
 			known.lastPacketAt = now
@@ -175,16 +181,22 @@
 		if tried = known.token; p.Retransmissions > known.retransmissions && now.Sub(known.lastPacketAt) >= minRetransmissionDelay {
 			b.selector.recordTimeout(tried, true, now)
 		}
+		if known.isEstablished {
+			movedFrom = known.token
+		}
 		b.untrack(key, now)
 	}
 	token := b.pick(route, key, tried, now)
 	server, ok := b.directory.Server(token)
 	if !ok {
-		return Verdict{Action: ActionReset, Reason: ReasonNoServer}
+		return b.refuse(p, ActionReset, ReasonNoServer)
 	}
 	placement := b.selector.describe(server, tried, now)
 	b.track(key, flow{token: token, retransmissions: p.Retransmissions, lastPacketAt: now})
-	return Verdict{Action: ActionForward, Server: server, Placement: placement}
+	if movedFrom == token {
+		movedFrom = 0
+	}
+	return Verdict{Action: ActionForward, Server: server, Placement: placement, MovedFrom: movedFrom}
 }
 
 // pick returns the token of the backend server for a new flow, or 0. The weights of the route
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -63,19 +63,23 @@
 	delete(b.flows, key)
 }
 
-// trackPacket records a packet of an established flow.
-func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) {
+// trackPacket records a packet of an established flow. It returns the backend server at which this
+// entry tracked the flow as established before, if that is another one, and otherwise 0.
+func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) (movedFrom director.Token) {
 	key := keyOf(p)
+	f, ok := b.flows[key]
+	if ok && f.isEstablished && f.token != server.Token {
+		movedFrom = f.token
+	}
 	if p.IsReset || p.IsFinal {
 		b.untrack(key, now)
-		return
+		return movedFrom
 	}
-	f, ok := b.flows[key]
 	if !ok || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
 		if f = b.track(key, flow{token: server.Token, isEstablished: true, acknowledged: p.Acknowledged, lastPacketAt: now}); f == nil {
-			return
+			return movedFrom
 		}
 	}
 	f.lastPacketAt = now
@@ -83,6 +87,7 @@
 	if p.HasData {
 		b.recordRequest(f, p, now)
 	}
+	return movedFrom
 }
 
 // recordAnswer records an acknowledgement of the caller. A new one shows that the backend server
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -84,8 +84,15 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Server is the destination of a forwarded packet.
+	// Server is the destination of a forwarded packet. For other packets it is the record that the
+	// token names, if the view has one.
 	Server director.Server
+	// IsTracked is set on packets that are not forwarded if this entry tracked their flow as
+	// established.
+	IsTracked bool
+	// MovedFrom is the backend server at which this entry tracked the flow of a forwarded packet as
+	// established, if the packet goes to another one; otherwise 0.
+	MovedFrom director.Token
 	// Placement describes how a new flow was placed.
 	Placement Placement
 	// View identifies the view that the decision is based on.
