Do not reset copies of an opening packet

What callers saw: a flow that was about to open, or had just opened, was reset with no_server.

Cause: the copies that a caller sends after 200 ms and 600 ms may be read by another entry than the first, or after the first one's backend server has begun to drain, has lapsed in a data centre that is taken out, or has used its time slot of a cold start. An entry without a backend server to choose answered each of them with a reset, but the flow may open at the backend server that has the first one.

Evidence: TestCopyOfOpeningPacketIsNotReset failed in all its cases; each got a reset (action 2) where none may be sent (action 0).

Only a first opening packet of a flow that this entry does not know is reset. No flow can be open then, and callers are still refused at once. A caller whose first packet was lost gets no answer to its copies and gives up after 1.4 s. A copy that is dropped leaves what the entry knows of the flow as it is, so that a late duplicate of the first is not reset either.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -169,11 +169,13 @@
 }
 
 // openFlow places a new flow. A retransmitted opening packet goes to another backend server, as the
-// first one has not answered in time.
+// first one has not answered in time. It is not reset if there is no other one: the flow may still
+// open at the first, which may have been chosen by another entry.
 func (b *Balancer) openFlow(p Packet, route director.Route, now time.Time) Verdict {
 	key := keyOf(p)
 	tried, movedFrom := director.Token(0), director.Token(0)
-	if known, ok := b.flows[key]; ok {
+	known, isKnown := b.flows[key]
+	if isKnown {
 		if server, ok := b.directory.Server(known.token); ok && known.retransmissions >= p.Retransmissions && server.AcceptsNewFlows() {
 			known.lastPacketAt = now
 			return Verdict{Action: ActionForward, Server: server}
@@ -184,13 +186,16 @@
 		if known.isEstablished {
 			movedFrom = known.token
 		}
-		b.untrack(key, now)
 	}
 	token := b.pick(route, key, tried, now)
 	server, ok := b.directory.Server(token)
 	if !ok {
+		if isKnown || p.Retransmissions > 0 {
+			return b.refuse(p, ActionDrop, ReasonNoServer)
+		}
 		return b.refuse(p, ActionReset, ReasonNoServer)
 	}
+	b.untrack(key, now)
 	placement := b.selector.describe(server, tried, now)
 	b.track(key, flow{token: token, retransmissions: p.Retransmissions, lastPacketAt: now})
 	if movedFrom == token {
--- a/entry/services/balancer/reset_test.go
+++ b/entry/services/balancer/reset_test.go
@@ -44,6 +44,14 @@
 			})
 		}
 	}
+	t.Run("if a duplicate of the first comes after a copy", func(t *testing.T) {
+		t.Parallel()
+		b := newBalancer(t, serverChanged(1, director.StateReady))
+		requireForwarded(t, b.Decide(opening(caller, 0), start), 1)
+		b.Update(2, []director.Change{serverChanged(1, director.StateDraining)}, false, start)
+		requireSilent(t, b, opening(caller, 1))
+		requireSilent(t, b, opening(caller, 0))
+	})
 	t.Run("if the cold backend server may take no other flow now", func(t *testing.T) {
 		t.Parallel()
 		b := balancer.New(balancer.Settings{Name: "entry-1", DataCentre: "a", MaxFlows: 100}, rand.New(rand.NewPCG(1, 1)))
