Reset a flow for a missing route only if its route was removed

What callers saw: an open flow, or one about to open, was reset with no_route just after its route had been added.

Cause: entries learn of a configuration one after the other, within the 3 s that the bound allows. A caller opens a flow on the new route through an entry that has it; its next packet, or a copy of its opening packet, reaches one that has not. That one's view was confirmed lately, only without the newest index, so it took the missing route for a proof. The same holds for a route that was removed and is back, and for an entry that has just started.

Evidence: TestLaggingViewResetsNoOpenFlow failed in all its cases; each got a reset (action 2) where none may be sent (action 0).

An open flow is now reset for this reason only by an entry that has carried it and knows its backend server: it had the route at that time, so a configuration has removed it under the open flow. This needs no list of removed routes, and it holds where such a list would not: for a flow that was opened after the route came back. Flows are forgotten after the idle timeout and after a restart, so nothing is concluded from either. Copies of opening packets are dropped. First ones are still refused at once, as no flow can be open then.

The price: a flow on a removed route whose packets reach an entry that has not carried it gets no answer until its caller gives up. A new flow would be refused as well.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -159,13 +159,25 @@
 	return Verdict{Action: action, Reason: reason, Server: server, IsTracked: ok && f.isEstablished}
 }
 
-// refuseUnknownAddress resets flows to an address without a route, unless the view may be out of
-// date.
+// refuseUnknownAddress refuses a packet to an address without a route. It resets the flow only if no
+// entry that knows of a newer configuration can have opened it, and the view is not out of date.
 func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
-	if now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge {
+	switch {
+	case now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge:
 		return b.refuse(p, ActionDrop, ReasonStaleView)
+	case p.IsOpening && p.Retransmissions == 0, !p.IsOpening && b.hasLostRoute(p):
+		return b.refuse(p, ActionReset, ReasonNoRoute)
+	default:
+		return b.refuse(p, ActionDrop, ReasonNoRoute)
 	}
-	return b.refuse(p, ActionReset, ReasonNoRoute)
+}
+
+// hasLostRoute reports whether a configuration has removed the route of the flow of a packet to an
+// address without a route. That is certain if this entry has carried the flow: it had the route then.
+// Otherwise the route may be new, or have been removed before the flow and be back.
+func (b *Balancer) hasLostRoute(p Packet) bool {
+	f, ok := b.flows[keyOf(p)]
+	return ok && f.token == p.Token
 }
 
 // openFlow places a new flow. A retransmitted opening packet goes to another backend server, as the
