Send copies of an opening packet to one backend server

What callers saw: two backend servers answered one opening packet, also after the flow was open at the first. By the protocol a caller returns the token that it received last, so its packets may then go to the backend server that does not hold the flow, which answers with a reset.

Cause: an entry that was frozen or slow reads a packet and its copies together. It sent each copy to another backend server at once, although none had had time to answer; it left only the timeout uncounted. It did the same with a copy that was read after the caller had acknowledged the answer.

Copies of an established flow go to its backend server, or nowhere if that gets no new flows. The time counts from the first packet that the entry placed there; duplicates do not renew it.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -180,24 +180,24 @@
 	return ok && f.token == p.Token
 }
 
-// openFlow places a new flow. A retransmitted opening packet goes to another backend server, as the
+// openFlow places a new flow. A retransmitted opening packet goes to another backend server if the
 // first one has not answered in time. It is not reset if there is no other one: the flow may still
 // open at the first, which may have been chosen by another entry.
 func (b *Balancer) openFlow(p Packet, route director.Route, now time.Time) Verdict {
 	key := keyOf(p)
-	tried, movedFrom := director.Token(0), director.Token(0)
+	tried := director.Token(0)
 	known, isKnown := b.flows[key]
 	if isKnown {
-		if server, ok := b.directory.Server(known.token); ok && known.retransmissions >= p.Retransmissions && server.AcceptsNewFlows() {
-			known.lastPacketAt = now
+		server, ok := b.directory.Server(known.token)
+		switch {
+		case ok && server.AcceptsNewFlows() && !known.needsOtherServer(p, now):
 			return Verdict{Action: ActionForward, Server: server}
+		case ok && server.State != director.StateGone && known.isEstablished:
+			return b.refuse(p, ActionDrop, ReasonLateCopy)
 		}
-		if tried = known.token; p.Retransmissions > known.retransmissions && now.Sub(known.lastPacketAt) >= minRetransmissionDelay {
+		if tried = known.token; known.needsOtherServer(p, now) {
 			b.selector.recordTimeout(tried, true, now)
 		}
-		if known.isEstablished {
-			movedFrom = known.token
-		}
 	}
 	token := b.pick(route, key, tried, now)
 	server, ok := b.directory.Server(token)
@@ -210,10 +210,7 @@
 	b.untrack(key, now)
 	placement := b.selector.describe(server, tried, now)
 	b.track(key, flow{token: token, retransmissions: p.Retransmissions, lastPacketAt: now})
-	if movedFrom == token {
-		movedFrom = 0
-	}
-	return Verdict{Action: ActionForward, Server: server, Placement: placement, MovedFrom: movedFrom}
+	return Verdict{Action: ActionForward, Server: server, Placement: placement}
 }
 
 // pick returns the token of the backend server for a new flow, or 0. The weights of the route
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -42,6 +42,12 @@
 	isRequestRepeated bool
 }
 
+// needsOtherServer reports whether an opening packet of the flow shows that its backend server has not
+// answered in time.
+func (f *flow) needsOtherServer(p Packet, now time.Time) bool {
+	return !f.isEstablished && p.Retransmissions > f.retransmissions && now.Sub(f.lastPacketAt) >= minRetransmissionDelay
+}
+
 func (b *Balancer) track(key flowKey, f flow) *flow {
 	if len(b.flows) >= b.settings.MaxFlows {
 		return nil
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -64,6 +64,9 @@
 	ReasonOtherService
 	// ReasonServerGone is a packet to a backend server that no longer exists.
 	ReasonServerGone
+	// ReasonLateCopy is an opening packet of a flow that is already established at a backend server
+	// that gets no new flows.
+	ReasonLateCopy
 
 	reasonCount
 )
@@ -71,7 +74,7 @@
 // String returns the name of the reason in counters and logs.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone",
+		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone", "late_copy",
 	}
 	if r >= reasonCount {
 		return "unknown"
