Keep a flow at the backend server whose answer its caller acknowledged

What callers saw, by the protocol: a flow is reset by a backend server that does not hold it.

Cause: the second copy of an opening packet goes to another backend server on purpose, so two may answer one caller. It opens the flow at the first answer, but returns the token that it received last, on a flow that is open elsewhere. Entries believed the token alone. If the other backend server had ended, they even reset the flow themselves (server_gone).

Evidence: a model of a caller and two backend servers as the protocol has them; TestSecondAnswerMovesNoFlow (a copy after a late answer, and a late answer that the caller acknowledges) and TestStateOfOtherServerIsIgnored failed.

An entry that has seen the caller acknowledge one answer keeps packets there as long as their acknowledgements continue that sequence, whatever their token says. Each backend server starts its sequence anywhere, so a flow that is really at the other one is not within 2^20 of it. The packet gets the token of the holder, whose next answer gives it back to the caller. If the holder is gone, or the entry has not seen the flow, the token decides as before. flows_kept and the line `flow kept` show such packets.

--- a/entry/routers/dispatcher/dispatcher.go
+++ b/entry/routers/dispatcher/dispatcher.go
@@ -65,8 +65,9 @@
 	// resetOpening, resetCopies and resetOpen count resets by reason: those that answer the first
 	// opening packet of a flow, a copy of one, and a packet of an open flow.
 	resetOpening, resetCopies, resetOpen *expvar.Map
-	// moved counts packets of flows that were established at another backend server.
-	moved *expvar.Int
+	// moved counts packets of flows that were established at another backend server, and kept those
+	// whose token names another one than the backend server that holds their flow.
+	moved, kept *expvar.Int
 }
 
 // Listen binds the address for the packets of callers.
@@ -86,7 +87,7 @@
 		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
 		placed:       counters.Map("flows_placed"),
 		resetOpening: counters.Map("packets_reset_opening"), resetCopies: counters.Map("packets_reset_copy"),
-		resetOpen: counters.Map("packets_reset_open"), moved: counters.Int("flows_moved"),
+		resetOpen: counters.Map("packets_reset_open"), moved: counters.Int("flows_moved"), kept: counters.Int("flows_kept"),
 	}, nil
 }
 
@@ -162,6 +163,9 @@
 	if verdict.MovedFrom != 0 {
 		d.moved.Add(1)
 	}
+	if verdict.IsKept {
+		d.kept.Add(1)
+	}
 	d.recorder.record(packet, verdict, now)
 	switch verdict.Action {
 	case balancer.ActionForward:
--- a/entry/routers/dispatcher/dispatcher_test.go
+++ b/entry/routers/dispatcher/dispatcher_test.go
@@ -106,12 +106,24 @@
 	})
 }
 
-// Guards against a flow that changes its backend server unnoticed.
+// Guards against a flow that changes its backend server, or that a token would move, unnoticed.
 func TestMovedFlowsAreCounted(t *testing.T) {
 	t.Parallel()
-	counters, lines := process(t, []director.Change{server(3, director.StateReady), server(4, director.StateReady)},
-		balancer.Packet{Source: caller, Destination: route, Token: 3, Acknowledged: 7}, balancer.Packet{Source: caller, Destination: route, Token: 4, Acknowledged: 50_000_000})
-	require.Contains(t, counters, "flows_moved 1\n")
-	require.Contains(t, lines, `msg="flow moved"`)
-	require.Contains(t, lines, "token=4 host=i-1 data_centre=b from_token=3 opening=false acknowledged=50000000")
+	for message, tc := range map[string]struct {
+		acknowledged   uint32
+		counter, where string
+	}{
+		"flow moved": {acknowledged: 50_000_000, counter: "flows_moved 1\n", where: "token=4 host=i-1 data_centre=b other_token=3 acknowledged=50000000"},
+		"flow kept":  {acknowledged: 8, counter: "flows_kept 1\n", where: "token=3 host=i-1 data_centre=b other_token=4 acknowledged=8"},
+	} {
+		t.Run(message, func(t *testing.T) {
+			t.Parallel()
+			counters, lines := process(t, []director.Change{server(3, director.StateReady), server(4, director.StateReady)},
+				balancer.Packet{Source: caller, Destination: route, Token: 3, Acknowledged: 7},
+				balancer.Packet{Source: caller, Destination: route, Token: 4, Acknowledged: tc.acknowledged})
+			require.Contains(t, counters, tc.counter)
+			require.Contains(t, lines, `msg="`+message+`"`)
+			require.Contains(t, lines, tc.where)
+		})
+	}
 }
--- a/entry/routers/dispatcher/recorder.go
+++ b/entry/routers/dispatcher/recorder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/services/balancer"
+	"github.com/redwingledge/redwingledge/shared/models/director"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 )
 
@@ -19,7 +20,7 @@
 	// because a backend server did not answer.
 	retryLinesPerSecond = 10
 	// moveLinesPerSecond limits the log lines about flows whose packets carry the token of
-	// another backend server than before.
+	// another backend server than the one at which they were established.
 	moveLinesPerSecond = 10
 )
 
@@ -45,8 +46,11 @@
 }
 
 func (r *recorder) record(p balancer.Packet, v balancer.Verdict, now time.Time) {
-	if v.MovedFrom != 0 {
-		r.recordMove(p, v, now)
+	switch {
+	case v.MovedFrom != 0:
+		r.recordMove("flow moved", v.MovedFrom, p, v, now)
+	case v.IsKept:
+		r.recordMove("flow kept", p.Token, p, v, now)
 	}
 	switch {
 	case v.Reason != balancer.ReasonNone:
@@ -82,15 +86,17 @@
 	return p.Retransmissions
 }
 
-func (r *recorder) recordMove(p balancer.Packet, v balancer.Verdict, now time.Time) {
+// recordMove logs a packet whose token names another backend server than the one at which its flow was
+// established. other is the one to which the packet does not go.
+func (r *recorder) recordMove(message string, other director.Token, p balancer.Packet, v balancer.Verdict, now time.Time) {
 	suppressed, ok := r.moves.Allow(now)
 	if !ok {
 		return
 	}
-	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "flow moved",
+	r.logger.LogAttrs(context.Background(), slog.LevelInfo, message,
 		slog.String(log.FieldCaller, p.Source.String()), slog.String(log.FieldRoute, p.Destination.String()),
 		slog.Uint64(log.FieldToken, uint64(v.Server.Token)), slog.String(log.FieldHost, v.Server.Host), slog.String(log.FieldDataCentre, v.Server.DataCentre),
-		slog.Uint64("from_token", uint64(v.MovedFrom)), slog.Bool("opening", p.IsOpening), slog.Uint64("acknowledged", uint64(p.Acknowledged)),
+		slog.Uint64("other_token", uint64(other)), slog.Uint64("acknowledged", uint64(p.Acknowledged)),
 		slog.Uint64(log.FieldIndex, v.View.Index), slog.Uint64(log.FieldVersion, v.View.Version),
 		slog.Duration(log.FieldAge, v.View.Age), slog.Int(log.FieldLeftOut, suppressed))
 }
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -133,19 +133,30 @@
 	if p.IsOpening {
 		return b.openFlow(p, route, now)
 	}
+	key := keyOf(p)
+	f := b.flows[key]
 	server, ok := b.directory.Server(p.Token)
+	verdict := Verdict{Action: ActionForward}
+	if f != nil && f.isEstablished && f.token != p.Token {
+		if holder, isKept := b.holderOf(f, p, route); isKept {
+			server, ok, verdict.IsKept = holder, true, true
+		} else {
+			verdict.MovedFrom = f.token
+		}
+	}
 	switch {
 	case !ok:
 		return b.refuse(p, ActionDrop, ReasonUnknownToken)
 	case !route.Allows(server.Service):
 		return b.refuse(p, ActionDrop, ReasonOtherService)
 	case server.State == director.StateGone:
-		verdict := b.refuse(p, ActionReset, ReasonServerGone)
-		b.untrack(keyOf(p), now)
-		return verdict
+		refusal := b.refuse(p, ActionReset, ReasonServerGone)
+		b.untrack(key, now)
+		return refusal
 	}
-	movedFrom := b.trackPacket(p, server, now)
-	return Verdict{Action: ActionForward, Server: server, MovedFrom: movedFrom}
+	verdict.Server = server
+	b.trackPacket(p, key, f, server, now)
+	return verdict
 }
 
 // refuse returns the verdict on a packet that is not forwarded. A reset is never answered with
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -9,6 +9,10 @@
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
 
+// maxAcknowledgedStep bounds how far the acknowledgements of two packets of a flow lie apart that
+// reach an entry one after the other: a few large answers may have passed through other entries.
+const maxAcknowledgedStep = 1 << 20
+
 // flowKey identifies a flow by its source and destination addresses.
 type flowKey struct {
 	source, destination netip.AddrPort
@@ -69,23 +73,31 @@
 	delete(b.flows, key)
 }
 
-// trackPacket records a packet of an established flow. It returns the backend server at which this
-// entry tracked the flow as established before, if that is another one, and otherwise 0.
-func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) (movedFrom director.Token) {
-	key := keyOf(p)
-	f, ok := b.flows[key]
-	if ok && f.isEstablished && f.token != server.Token {
-		movedFrom = f.token
+// holderOf returns the backend server that holds the established flow f of a packet whose token names
+// another one, and false if the token is not known to be wrong. Two backend servers may have answered the opening
+// packet; the caller acknowledges data of the one that holds the flow, and each starts its sequence
+// anywhere.
+func (b *Balancer) holderOf(f *flow, p Packet, route director.Route) (director.Server, bool) {
+	distance := int32(p.Acknowledged - f.acknowledged)
+	if distance > maxAcknowledgedStep || distance < -maxAcknowledgedStep {
+		return director.Server{}, false
 	}
+	holder, ok := b.directory.Server(f.token)
+	return holder, ok && holder.State != director.StateGone && route.Allows(holder.Service)
+}
+
+// trackPacket records a packet that goes to an established flow at a backend server. f is the flow as it
+// was tracked before, or nil.
+func (b *Balancer) trackPacket(p Packet, key flowKey, f *flow, server director.Server, now time.Time) {
 	if p.IsReset || p.IsFinal {
 		b.untrack(key, now)
-		return movedFrom
+		return
 	}
-	if !ok || f.token != server.Token {
+	if f == nil || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
 		if f = b.track(key, flow{token: server.Token, isEstablished: true, acknowledged: p.Acknowledged, lastPacketAt: now}); f == nil {
-			return movedFrom
+			return
 		}
 	}
 	f.lastPacketAt = now
@@ -93,7 +105,6 @@
 	if p.HasData {
 		b.recordRequest(f, p, now)
 	}
-	return movedFrom
 }
 
 // recordAnswer records an acknowledgement of the caller. A new one shows that the backend server
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -96,6 +96,9 @@
 	// MovedFrom is the backend server at which this entry tracked the flow of a forwarded packet as
 	// established, if the packet goes to another one; otherwise 0.
 	MovedFrom director.Token
+	// IsKept is set if the token of a forwarded packet names another backend server than the one that
+	// holds its flow, and the packet goes to the latter.
+	IsKept bool
 	// Placement describes how a new flow was placed.
 	Placement Placement
 	// View identifies the view that the decision is based on.
--- a/entry/services/balancer/two_answers_test.go
+++ b/entry/services/balancer/two_answers_test.go
@@ -107,6 +107,15 @@
 			require.False(t, c.isReset, "the caller got a reset that its backend server did not send")
 		})
 	}
+	t.Run("a late answer that the caller acknowledges", func(t *testing.T) {
+		t.Parallel()
+		c := newTwoAnswers(t)
+		first := c.sendOpening(0, start)
+		c.receive(c.sendOpening(1, start.Add(firstRetransmission)), start.Add(firstRetransmission))
+		c.receive(first, start.Add(firstRetransmission))
+		c.sendData(1, start.Add(time.Second))
+		require.False(t, c.isReset, "the caller got a reset that its backend server did not send")
+	})
 	t.Run("a copy after the flow is open", func(t *testing.T) {
 		t.Parallel()
 		c := newTwoAnswers(t)
@@ -116,3 +125,47 @@
 		require.False(t, c.isReset, "the caller got a reset that its backend server did not send")
 	})
 }
+
+// Guards against a reset or a loss of a flow because of the backend server that does not hold it.
+func TestStateOfOtherServerIsIgnored(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]director.Change{
+		"gone": serverChanged(2, director.StateGone), "forgotten": director.ServerRemoved{Token: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBalancer(t, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady))
+			acknowledge(t, b, caller, 1, start)
+			b.Update(2, []director.Change{change}, false, start)
+			requireForwarded(t, b.Decide(balancer.Packet{Source: caller, Destination: route, Token: 2, Acknowledged: 500}, start), 1)
+		})
+	}
+}
+
+// Guards against a flow that is kept at a backend server that does not hold it.
+func TestTokenDecidesWhereNothingElseIsKnown(t *testing.T) {
+	t.Parallel()
+	withToken := func(token director.Token, acknowledged uint32) balancer.Packet {
+		return balancer.Packet{Source: caller, Destination: route, Token: token, Acknowledged: acknowledged}
+	}
+	for name, change := range map[string]director.Change{
+		"another sequence than that of a server that is gone": serverChanged(1, director.StateGone),
+		"another sequence than that of a draining server":     serverChanged(1, director.StateDraining),
+		"another sequence than that of another service":       director.ServerChanged{Server: server(1, "manifests", "a")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBalancer(t, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady))
+			requireForwarded(t, b.Decide(withToken(1, 1_000), start), 1)
+			b.Update(2, []director.Change{change}, false, start)
+			requireForwarded(t, b.Decide(withToken(2, 3_000_000_000), start), 2)
+		})
+	}
+	t.Run("the sequence of a server that is gone", func(t *testing.T) {
+		t.Parallel()
+		b := newBalancer(t, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady))
+		requireForwarded(t, b.Decide(withToken(1, 1_000), start), 1)
+		b.Update(2, []director.Change{serverChanged(1, director.StateGone)}, false, start)
+		requireForwarded(t, b.Decide(withToken(2, 1_000), start), 2)
+	})
+}
