--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -124,7 +124,7 @@
 
 func (b *Balancer) decide(p Packet, now time.Time) Verdict {
 	if b.directory.Version == 0 {
-		return Verdict{Reason: ReasonNoView}
+		return b.refuse(p, ActionDrop, ReasonNoView)
 	}
 	route, ok := b.directory.Route(p.Destination)
 	if !ok {
@@ -133,55 +133,92 @@
 	if p.IsOpening {
 		return b.openFlow(p, route, now)
 	}
+	key := keyOf(p)
+	f := b.flows[key]
 	server, ok := b.directory.Server(p.Token)
+	verdict := Verdict{Action: ActionForward}
+	if f != nil && f.isEstablished && f.token != p.Token {
+		if holder, isKept := b.holderOf(f, p, route); isKept {
+			server, ok, verdict.IsKept = holder, true, true
+		} else {
+			verdict.MovedFrom = f.token
+		}
+	}
 	switch {
 	case !ok:
-		return Verdict{Reason: ReasonUnknownToken}
+		return b.refuse(p, ActionDrop, ReasonUnknownToken)
 	case !route.Allows(server.Service):
-		return Verdict{Reason: ReasonOtherService}
+		return b.refuse(p, ActionDrop, ReasonOtherService)
 	case server.State == director.StateGone:
-		b.untrack(keyOf(p), now)
-		if p.IsReset {
-			return Verdict{Reason: ReasonServerGone}
-		}
-		return Verdict{Action: ActionReset, Reason: ReasonServerGone}
+		refusal := b.refuse(p, ActionReset, ReasonServerGone)
+		b.untrack(key, now)
+		return refusal
 	}
-	b.trackPacket(p, server, now)
-	return Verdict{Action: ActionForward, Server: server}
+	verdict.Server = server
+	b.trackPacket(p, key, f, server, now)
+	return verdict
 }
 
-// refuseUnknownAddress resets flows to an address without a route, unless the view may be out of
-// date.
-func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
-	if now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge {
-		return Verdict{Reason: ReasonStaleView}
-	}
+// refuse returns the verdict on a packet that is not forwarded. A reset is never answered with
+// another one.
+func (b *Balancer) refuse(p Packet, action Action, reason Reason) Verdict {
 	if p.IsReset {
-		return Verdict{Reason: ReasonNoRoute}
+		action = ActionDrop
 	}
-	return Verdict{Action: ActionReset, Reason: ReasonNoRoute}
+	server, _ := b.directory.Server(p.Token)
+	f, ok := b.flows[keyOf(p)]
+	return Verdict{Action: action, Reason: reason, Server: server, IsTracked: ok && f.isEstablished}
 }
 
-// openFlow places a new flow. A retransmitted opening packet goes to another backend server, as the
-// first one has not answered in time.
+// refuseUnknownAddress refuses a packet to an address without a route. It resets the flow only if no
+// entry that knows of a newer configuration can have opened it, and the view is not out of date.
+func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
+	switch {
+	case now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge:
+		return b.refuse(p, ActionDrop, ReasonStaleView)
+	case p.IsOpening && p.Retransmissions == 0, !p.IsOpening && b.hasLostRoute(p):
+		return b.refuse(p, ActionReset, ReasonNoRoute)
+	default:
+		return b.refuse(p, ActionDrop, ReasonNoRoute)
+	}
+}
+
+// hasLostRoute reports whether a configuration has removed the route of the flow of a packet to an
+// address without a route. That is certain if this entry has carried the flow: it had the route then.
+// Otherwise the route may be new, or have been removed before the flow and be back.
+func (b *Balancer) hasLostRoute(p Packet) bool {
+	f, ok := b.flows[keyOf(p)]
+	return ok && f.token == p.Token
+}
+
+// openFlow places a new flow. A retransmitted opening packet goes to another backend server if the
+// first one has not answered in time. It is not reset if there is no other one: the flow may still
+// open at the first, which may have been chosen by another entry.
 func (b *Balancer) openFlow(p Packet, route director.Route, now time.Time) Verdict {
 	key := keyOf(p)
 	tried := director.Token(0)
-	if known, ok := b.flows[key]; ok {
-		if server, ok := b.directory.Server(known.token); ok && known.retransmissions >= p.Retransmissions && server.AcceptsNewFlows() {
-			known.lastPacketAt = now
+	known, isKnown := b.flows[key]
+	if isKnown {
+		server, ok := b.directory.Server(known.token)
+		switch {
+		case ok && server.AcceptsNewFlows() && !known.needsOtherServer(p, now):
 			return Verdict{Action: ActionForward, Server: server}
+		case ok && server.State != director.StateGone && known.isEstablished:
+			return b.refuse(p, ActionDrop, ReasonLateCopy)
 		}
-		if tried = known.token; p.Retransmissions > known.retransmissions && now.Sub(known.lastPacketAt) >= minRetransmissionDelay {
+		if tried = known.token; known.needsOtherServer(p, now) {
 			b.selector.recordTimeout(tried, true, now)
 		}
-		b.untrack(key, now)
 	}
 	token := b.pick(route, key, tried, now)
 	server, ok := b.directory.Server(token)
 	if !ok {
-		return Verdict{Action: ActionReset, Reason: ReasonNoServer}
+		if isKnown || p.Retransmissions > 0 {
+			return b.refuse(p, ActionDrop, ReasonNoServer)
+		}
+		return b.refuse(p, ActionReset, ReasonNoServer)
 	}
+	b.untrack(key, now)
 	placement := b.selector.describe(server, tried, now)
 	b.track(key, flow{token: token, retransmissions: p.Retransmissions, lastPacketAt: now})
 	return Verdict{Action: ActionForward, Server: server, Placement: placement}
