--- a/entry/routers/receiver/receiver_test.go
+++ b/entry/routers/receiver/receiver_test.go
@@ -147,6 +147,38 @@
 	}
 }
 
+// Guards against an announcement that is applied although it says something else or two things.
+func TestInexactAnnouncementIsRefused(t *testing.T) {
+	t.Parallel()
+	odd := "/v1/announcements/sack-orders/host-%EF%BF%BD"
+	named := func(host string) string { return strings.Replace(body, `"host-1"`, `"`+host+`"`, 1) }
+	first := func(field string) string { return strings.Replace(body, `{`, `{`+field+`,`, 1) }
+	for name, r := range map[string]*http.Request{
+		"a name not in UTF-8":             put(odd, named("host-\xff")),
+		"a surrogate in UTF-8":            put("/v1/announcements/sack-orders/host-%EF%BF%BD%EF%BF%BD%EF%BF%BD", named("host-\xed\xa0\x80")),
+		"a lone surrogate":                put(odd, named(`host-\ud800`)),
+		"a path not in UTF-8":             put("/v1/announcements/sack-orders/host-%ff", named("host-\xff")),
+		"slots twice":                     put(path, first(`"slots":9`)),
+		"an escaped name twice":           put(path, first(`"\u0073lots":9`)),
+		"a field in capitals":             put(path, strings.Replace(body, `"slots"`, `"SLOTS"`, 1)),
+		"a field in capitals and another": put(path, first(`"Slots":9`)),
+		"a byte order mark":               put(path, "\ufeff"+body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := &fakeAnnouncer{}
+			requireProblem(t, receiver.NewHandler(fake, catalog, reporter.NewCounters()), r, http.StatusBadRequest, "body_invalid")
+			require.Empty(t, fake.applied)
+		})
+	}
+	t.Run("a replacement character that was sent", func(t *testing.T) {
+		fake := &fakeAnnouncer{}
+		w := httptest.NewRecorder()
+		receiver.NewHandler(fake, catalog, reporter.NewCounters()).ServeHTTP(w, put(odd, named("host-\ufffd")))
+		require.Equal(t, http.StatusOK, w.Code, w.Body)
+		require.Len(t, fake.applied, 1)
+	})
+}
+
 func requireProblem(t *testing.T, h http.Handler, r *http.Request, status int, reason string) {
 	t.Helper()
 	w := httptest.NewRecorder()
