Refuse bodies that have a name twice

An announcement with two addresses was taken for one at the last of them, so that it could end the backend server there; a configuration with two versions, or with two lists of routes, was acknowledged, of which only one was obeyed.

Cause: encoding/json takes the last of two members with one name, and merges elements of two lists. Other readers take the first one or none. So such a body cannot be read in full, and a configuration that cannot must be refused; no backend server sends one.

Change: strictjson.Check refuses an object that has a name twice at any depth. Names are compared as they decode, so that an escaped letter hides nothing.

--- a/shared/modules/strictjson/strictjson.go
+++ b/shared/modules/strictjson/strictjson.go
@@ -1,10 +1,13 @@
 // Package strictjson checks JSON texts of other programs. Package encoding/json replaces bytes and
-// escapes that it cannot decode, so that a text may be taken for another one.
+// escapes that it cannot decode, and of two members with one name it takes the last one, so that a
+// text may be taken for another one.
 package strictjson
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strconv"
 	"unicode/utf16"
 	"unicode/utf8"
@@ -15,7 +18,8 @@
 	errLoneSurrogate = errors.New("a JSON string has half of a surrogate pair")
 )
 
-// Check returns an error unless data is one JSON text of which every string decodes exactly.
+// Check returns an error unless data is one JSON text of which every string decodes exactly and every
+// object has each name once.
 func Check(data []byte) error {
 	if !utf8.Valid(data) {
 		return errNotUTF8
@@ -24,16 +28,49 @@
 	if err := json.Unmarshal(data, &text); err != nil {
 		return err
 	}
+	// The names in each open object, or nil for an open list.
+	var open []map[string]struct{}
 	for i := 0; i < len(data); i++ {
-		if data[i] != '"' {
-			continue
+		switch data[i] {
+		case '{':
+			open = append(open, make(map[string]struct{}))
+		case '[':
+			open = append(open, nil)
+		case '}', ']':
+			open = open[:len(open)-1]
+		case '"':
+			end := endOfString(data, i)
+			if hasLoneSurrogate(data[i:end]) {
+				return errLoneSurrogate
+			}
+			if isName(data[end:]) {
+				if err := addName(open[len(open)-1], data[i:end]); err != nil {
+					return err
+				}
+			}
+			i = end - 1
 		}
-		end := endOfString(data, i)
-		if hasLoneSurrogate(data[i:end]) {
-			return errLoneSurrogate
+	}
+	return nil
+}
+
+// isName reports whether the string before rest is a name of an object.
+func isName(rest []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(rest, " \t\r\n"), []byte(":"))
+}
+
+// addName adds the name in quotes to those of its object, unless it is there already.
+func addName(names map[string]struct{}, quoted []byte) error {
+	name := string(quoted[1 : len(quoted)-1])
+	if bytes.IndexByte(quoted, '\\') >= 0 {
+		if err := json.Unmarshal(quoted, &name); err != nil {
+			return err
 		}
-		i = end - 1
 	}
+	if _, ok := names[name]; ok {
+		return fmt.Errorf("a JSON object has the name %q twice", name)
+	}
+	names[name] = struct{}{}
 	return nil
 }
 
--- a/shared/modules/strictjson/strictjson_test.go
+++ b/shared/modules/strictjson/strictjson_test.go
@@ -41,6 +41,21 @@
 	})
 }
 
+// Guards against objects of which only one of two members is read.
+func TestRepeatedNamesAreRefused(t *testing.T) {
+	t.Parallel()
+	requireRefused(t, map[string]string{
+		"twice":               `{"a":1,"b":2,"a":1}`,
+		"with white space":    "{\"a\" :1,\"a\"\r\n:1}",
+		"an escaped letter":   `{"a":1,"\u0061":2}`,
+		"an escaped pair":     `{"\ud83d\ude00":1,"😀":2}`,
+		"a quote":             `{"\"":1,"\u0022":2}`,
+		"an empty name":       `{"":1,"":2}`,
+		"in a list":           `[1,{"a":1,"a":2}]`,
+		"after another level": `{"a":{"b":[{}]},"a":2}`,
+	})
+}
+
 // Guards against texts that are no single JSON value.
 func TestInvalidTextsAreRefused(t *testing.T) {
 	t.Parallel()
