--- a/shared/models/director/server.go
+++ b/shared/models/director/server.go
@@ -82,7 +82,7 @@
 // Check returns an error that names every invalid field that a backend server announces, or nil if
 // all are valid.
 func (s Server) Check() error {
-	errs := []error{checkName("host", s.Host), checkName("service", s.Service), checkName("data centre", s.DataCentre)}
+	errs := []error{CheckName("host", s.Host), CheckName("service", s.Service), CheckName("data centre", s.DataCentre)}
 	if !s.Address.IsValid() || s.Address.Port() == 0 || s.Address.Addr().IsUnspecified() {
 		errs = append(errs, errors.New("address: must be IP:PORT with a port above 0"))
 	}
@@ -98,7 +98,9 @@
 	return errors.Join(errs...)
 }
 
-func checkName(field, name string) error {
+// CheckName returns an error if no backend server can have announced the name. The field is part of
+// its text.
+func CheckName(field, name string) error {
 	if name == "" || len(name) > MaxNameLength || !utf8.ValidString(name) {
 		return fmt.Errorf("%s: must have 1 to %d bytes of UTF-8", field, MaxNameLength)
 	}
