Apply announcements of the product only if they are exact

What callers saw: nothing that was measured. PUT /v1/announcements had the faults of the decoder of the platform: bytes that are not UTF-8 and lone surrogates in the name of the host became U+FFFD, which a path can name; of two members with one name the last one counted; a name in capitals was not refused as an unknown field.

Change: Parse uses the same check, strictjson.Check, and compares names exactly.

--- a/entry/routers/receiver/receiver.go
+++ b/entry/routers/receiver/receiver.go
@@ -22,6 +22,7 @@
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/strictjson"
 )
 
 // MaxBodyBytes is the maximum size of the body of an announcement in bytes.
@@ -186,17 +187,30 @@
 	return a, problem{}, true
 }
 
+// fieldNames are the names in the body of an announcement.
+var fieldNames = []string{
+	"service", "host", "address", "data_centre", "slots", "connections", "incarnation", "sequence", "state",
+}
+
 // Parse decodes and validates the body of an announcement of the backend server id. It
 // returns an error for unknown fields and for data after the JSON value.
 func Parse(body []byte, id announcer.ID) (announcer.Announcement, error) {
 	var a announcer.Announcement
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
+	if err := strictjson.Check(body); err != nil {
+		return announcer.Announcement{}, fmt.Errorf("decode the announcement: %w", err)
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
 		return announcer.Announcement{}, fmt.Errorf("decode the announcement: %w", err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return announcer.Announcement{}, errors.New("the body has data after the announcement")
+	// A decoder that refuses unknown fields would still ignore the case of names.
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return announcer.Announcement{}, fmt.Errorf("decode the announcement: %w", err)
+	}
+	for name := range fields {
+		if !slices.Contains(fieldNames, name) {
+			return announcer.Announcement{}, fmt.Errorf("decode the announcement: unknown field %q", name)
+		}
 	}
 	if a.ID != id {
 		return announcer.Announcement{}, fmt.Errorf("the body is for %s, the path for %s", a.ID, id)
