Keep the flows that a start holds under the token of the one before

Callers saw a reset of an open flow by an entry while its backend server lived. A host that starts again under its name and at its address gets packets with the token of its earlier start, too: they carry its number. So flows that entries placed by the earlier record, because the next start had not announced itself yet or their view lagged, are held by the live start under the old token. The record of the earlier start became gone, by a valid proof, and the entries reset them.

A start is never gone if its successor has both its host and its address. It gets no new flows, its record is removed 70 s after its lease as before, and the host itself resets the flows that it does not hold, as it does for any packet of an unknown flow.

TestRestartedServerKeepsFlowsOfEarlierToken failed before.

--- a/control/services/director/succession.go
+++ b/control/services/director/succession.go
@@ -12,6 +12,10 @@
 // a single announcement may have been sent by another writer. A backend server is gone once a later
 // start of its host or at its address goes on announcing itself after the lease of the earlier one
 // has expired. An announcement of the earlier start disproves even that.
+//
+// A start is never gone if its successor has both its host and its address: packets for the earlier
+// one reach the later one, which holds the flows that entries placed before they knew of it, and
+// resets the others itself.
 
 // isSameStart reports whether two records describe the same start of a backend server.
 func isSameStart(a, b director.Server) bool {
@@ -79,7 +83,8 @@
 	}
 	known := m.marks[rival.Token]
 	if known.Successor == server.Token {
-		if sequence > known.SuccessorSequence && !m.hasLease(rival) {
+		isSamePlace := rival.Host == server.Host && rival.Address == server.Address
+		if sequence > known.SuccessorSequence && !m.hasLease(rival) && !isSamePlace {
 			return successionProved
 		}
 		return successionNone
--- a/control/services/director/succession_test.go
+++ b/control/services/director/succession_test.go
@@ -90,3 +90,23 @@
 		})
 	}
 }
+
+// Guards against a reset of flows that a backend server holds under the token of its earlier start,
+// because entries placed them before it had announced itself.
+func TestRestartedServerKeepsFlowsOfEarlierToken(t *testing.T) {
+	t.Parallel()
+	l := newCommandLog(t)
+	l.mustApply(announce("h1", addressA, 100, 1, false))
+	l.mustApply(announce("h1", addressA, 200, 1, false))
+	l.mustApply(Expire{Lapsed: []director.Token{1}})
+	for sequence := range uint64(3) {
+		l.mustApply(announce("h1", addressA, 200, 2+sequence, false))
+		l = l.restart()
+		l.requireToken(1, director.StateDraining)
+		l.requireToken(2, director.StateReady)
+	}
+	_, ok := l.machine.IsKnown(announce("h1", addressA, 200, 9, false).Announcements[0])
+	require.True(t, ok, "renewals must not fill the log")
+	l.mustApply(Expire{Forget: []director.Token{1}})
+	require.Len(t, l.machine.Servers(), 1)
+}
