Find names that are there twice without a map for each object

The check of bodies made a map for each object and copied the whole text. It now keeps the names of all open objects in one list and sorts those of an object when it ends.

--- a/shared/modules/strictjson/strictjson.go
+++ b/shared/modules/strictjson/strictjson.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"unicode/utf16"
 	"unicode/utf8"
@@ -24,29 +25,33 @@
 	if !utf8.Valid(data) {
 		return errNotUTF8
 	}
-	var text json.RawMessage
-	if err := json.Unmarshal(data, &text); err != nil {
-		return err
+	if !json.Valid(data) {
+		return json.Unmarshal(data, new(json.RawMessage))
 	}
-	// The names in each open object, or nil for an open list.
-	var open []map[string]struct{}
+	// The names in all open objects, and how many there were before each open object or list.
+	var names [][]byte
+	var before []int
 	for i := 0; i < len(data); i++ {
 		switch data[i] {
-		case '{':
-			open = append(open, make(map[string]struct{}))
-		case '[':
-			open = append(open, nil)
+		case '{', '[':
+			before = append(before, len(names))
 		case '}', ']':
-			open = open[:len(open)-1]
+			first := before[len(before)-1]
+			if err := checkUnique(names[first:]); err != nil {
+				return err
+			}
+			names, before = names[:first], before[:len(before)-1]
 		case '"':
 			end := endOfString(data, i)
 			if hasLoneSurrogate(data[i:end]) {
 				return errLoneSurrogate
 			}
 			if isName(data[end:]) {
-				if err := addName(open[len(open)-1], data[i:end]); err != nil {
+				name, err := decodeName(data[i:end])
+				if err != nil {
 					return err
 				}
+				names = append(names, name)
 			}
 			i = end - 1
 		}
@@ -59,18 +64,24 @@
 	return bytes.HasPrefix(bytes.TrimLeft(rest, " \t\r\n"), []byte(":"))
 }
 
-// addName adds the name in quotes to those of its object, unless it is there already.
-func addName(names map[string]struct{}, quoted []byte) error {
-	name := string(quoted[1 : len(quoted)-1])
-	if bytes.IndexByte(quoted, '\\') >= 0 {
-		if err := json.Unmarshal(quoted, &name); err != nil {
-			return err
-		}
+// decodeName returns the name in quotes.
+func decodeName(quoted []byte) ([]byte, error) {
+	if bytes.IndexByte(quoted, '\\') < 0 {
+		return quoted[1 : len(quoted)-1], nil
 	}
-	if _, ok := names[name]; ok {
-		return fmt.Errorf("a JSON object has the name %q twice", name)
+	var name string
+	err := json.Unmarshal(quoted, &name)
+	return []byte(name), err
+}
+
+// checkUnique sorts the names of an object. It returns an error if one is there twice.
+func checkUnique(names [][]byte) error {
+	slices.SortFunc(names, bytes.Compare)
+	for i := 1; i < len(names); i++ {
+		if bytes.Equal(names[i-1], names[i]) {
+			return fmt.Errorf("a JSON object has the name %q twice", names[i])
+		}
 	}
-	names[name] = struct{}{}
 	return nil
 }
 
