--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -9,6 +9,10 @@
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
 
+// maxAcknowledgedStep bounds how far the acknowledgements of two packets of a flow lie apart that
+// reach an entry one after the other: a few large answers may have passed through other entries.
+const maxAcknowledgedStep = 1 << 20
+
 // flowKey identifies a flow by its source and destination addresses.
 type flowKey struct {
 	source, destination netip.AddrPort
@@ -42,6 +46,12 @@
 	isRequestRepeated bool
 }
 
+// needsOtherServer reports whether an opening packet of the flow shows that its backend server has not
+// answered in time.
+func (f *flow) needsOtherServer(p Packet, now time.Time) bool {
+	return !f.isEstablished && p.Retransmissions > f.retransmissions && now.Sub(f.lastPacketAt) >= minRetransmissionDelay
+}
+
 func (b *Balancer) track(key flowKey, f flow) *flow {
 	if len(b.flows) >= b.settings.MaxFlows {
 		return nil
@@ -63,15 +73,27 @@
 	delete(b.flows, key)
 }
 
-// trackPacket records a packet of an established flow.
-func (b *Balancer) trackPacket(p Packet, server director.Server, now time.Time) {
-	key := keyOf(p)
+// holderOf returns the backend server that holds the established flow f of a packet whose token names
+// another one, and false if the token is not known to be wrong. Two backend servers may have answered the opening
+// packet; the caller acknowledges data of the one that holds the flow, and each starts its sequence
+// anywhere.
+func (b *Balancer) holderOf(f *flow, p Packet, route director.Route) (director.Server, bool) {
+	distance := int32(p.Acknowledged - f.acknowledged)
+	if distance > maxAcknowledgedStep || distance < -maxAcknowledgedStep {
+		return director.Server{}, false
+	}
+	holder, ok := b.directory.Server(f.token)
+	return holder, ok && holder.State != director.StateGone && route.Allows(holder.Service)
+}
+
+// trackPacket records a packet that goes to an established flow at a backend server. f is the flow as it
+// was tracked before, or nil.
+func (b *Balancer) trackPacket(p Packet, key flowKey, f *flow, server director.Server, now time.Time) {
 	if p.IsReset || p.IsFinal {
 		b.untrack(key, now)
 		return
 	}
-	f, ok := b.flows[key]
-	if !ok || f.token != server.Token {
+	if f == nil || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
 		if f = b.track(key, flow{token: server.Token, isEstablished: true, acknowledged: p.Acknowledged, lastPacketAt: now}); f == nil {
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -64,6 +64,9 @@
 	ReasonOtherService
 	// ReasonServerGone is a packet to a backend server that no longer exists.
 	ReasonServerGone
+	// ReasonLateCopy is an opening packet of a flow that is already established at a backend server
+	// that gets no new flows.
+	ReasonLateCopy
 
 	reasonCount
 )
@@ -71,7 +74,7 @@
 // String returns the name of the reason in counters and logs.
 func (r Reason) String() string {
 	names := [reasonCount]string{
-		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone",
+		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone", "late_copy",
 	}
 	if r >= reasonCount {
 		return "unknown"
@@ -84,8 +87,18 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Server is the destination of a forwarded packet.
+	// Server is the destination of a forwarded packet. For other packets it is the record that the
+	// token names, if the view has one.
 	Server director.Server
+	// IsTracked is set on packets that are not forwarded if this entry tracked their flow as
+	// established.
+	IsTracked bool
+	// MovedFrom is the backend server at which this entry tracked the flow of a forwarded packet as
+	// established, if the packet goes to another one; otherwise 0.
+	MovedFrom director.Token
+	// IsKept is set if the token of a forwarded packet names another backend server than the one that
+	// holds its flow, and the packet goes to the latter.
+	IsKept bool
 	// Placement describes how a new flow was placed.
 	Placement Placement
 	// View identifies the view that the decision is based on.
