End the new flows of a later start that an earlier one outlives

Another writer had sent one announcement with its name, its address and a later start. Once that lease had expired the record was lapsed, and entries use lapsed ones if a service has no other; its packets carry the number and the address of the live host.

A later start that has announced itself once and has no lease is disproved by an announcement of the earlier one: it gets no new flows unless it announces itself. The transition is logged with its cause.

--- a/control/services/director/announcement.go
+++ b/control/services/director/announcement.go
@@ -39,7 +39,7 @@
 	m.setMarks(known.Token, marks{
 		IsPaused: server.State == director.StateDraining && !a.Draining, IsConfirmed: mark.IsConfirmed || a.Server.Sequence > known.Sequence,
 	})
-	m.supersede(server, a.Server.Sequence)
+	m.judgeRivals(server, a.Server.Sequence)
 	return nil
 }
 
@@ -55,7 +55,7 @@
 	}
 	m.nextToken++
 	m.applyChange(director.ServerChanged{Server: server})
-	m.supersede(server, a.Server.Sequence)
+	m.judgeRivals(server, a.Server.Sequence)
 	return nil
 }
 
--- a/control/services/director/succession.go
+++ b/control/services/director/succession.go
@@ -62,6 +62,12 @@
 	return m.hasLease(rival) || mark.IsConfirmed || mark.HasLeft
 }
 
+// isOutlived reports whether an announcement of a backend server shows that a later start, which has
+// announced itself only once and has no lease, does not run.
+func (m *Machine) isOutlived(rival, server director.Server) bool {
+	return rival.State == director.StateLapsed && isLater(rival, server) && !m.contests(rival, server)
+}
+
 // succession is what an announcement of a start shows about an earlier one.
 type succession uint8
 
@@ -94,18 +100,22 @@
 }
 
 // hasNews reports whether an announcement of server with a sequence confirms it, or shows anything new
-// about an earlier start.
+// about another start.
 func (m *Machine) hasNews(server director.Server, sequence uint64) bool {
 	isRepeated := sequence > server.Sequence && !m.marks[server.Token].IsConfirmed
 	return slices.ContainsFunc(m.rivals(server), func(rival director.Server) bool {
-		return isRepeated && isLater(server, rival) || m.successionOf(rival, server, sequence) != successionNone
+		return isRepeated && isLater(server, rival) || m.isOutlived(rival, server) || m.successionOf(rival, server, sequence) != successionNone
 	})
 }
 
-// supersede records what an announcement of server with a sequence shows about earlier starts.
-func (m *Machine) supersede(server director.Server, sequence uint64) {
+// judgeRivals records what an announcement of server with a sequence shows about other starts.
+func (m *Machine) judgeRivals(server director.Server, sequence uint64) {
 	for _, rival := range m.rivals(server) {
 		mark := m.marks[rival.Token]
+		if m.isOutlived(rival, server) {
+			m.pause(rival, mark, CauseOutlived, server)
+			continue
+		}
 		switch m.successionOf(rival, server, sequence) {
 		case successionNone:
 		case successionClaimed:
--- a/control/services/director/succession_rules_test.go
+++ b/control/services/director/succession_rules_test.go
@@ -318,3 +318,24 @@
 		})
 	}
 }
+
+// Guards against new flows that reach a draining backend server under the token of an odd later start.
+func TestOutlivedStartGetsNoFlows(t *testing.T) {
+	t.Parallel()
+	for name, drainsFirst := range map[string]bool{"drain after the lease": false, "drain before": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.declare()
+			require.NoError(t, f.announce("h1", addressA, 1))
+			require.NoError(t, f.service.Announce(t.Context(), announce("h1", addressA, 200, 1, false).Announcements[0]))
+			for i := range 8 {
+				f.advance(time.Second)
+				isDraining := drainsFirst || i > 6
+				require.NoError(t, f.service.Announce(t.Context(), announce("h1", addressA, 100, uint64(2+i), isDraining).Announcements[0]))
+			}
+			f.requireState(1, director.StateDraining)
+			f.requireState(2, director.StateDraining)
+		})
+	}
+}
--- a/control/services/director/transition.go
+++ b/control/services/director/transition.go
@@ -18,6 +18,8 @@
 	CauseSuperseded Cause = iota + 1
 	// CauseWithdrawn is a withdrawal of its host.
 	CauseWithdrawn
+	// CauseOutlived is an announcement of the earlier start that this one seemed to succeed.
+	CauseOutlived
 )
 
 // String returns the name of the cause, as logs show it.
@@ -27,6 +29,8 @@
 		return "superseded"
 	case CauseWithdrawn:
 		return "withdrawn"
+	case CauseOutlived:
+		return "outlived"
 	default:
 		return "unknown"
 	}
@@ -38,7 +42,7 @@
 	Server director.Server
 	From   director.State
 	Cause  Cause
-	// By is the start whose announcement caused the transition, if Cause is CauseSuperseded.
+	// By is the start whose announcement caused the transition, unless Cause is CauseWithdrawn.
 	By director.Server
 }
 
