Give a taken address to the backend server that has it

What callers saw: after a backend server of one service had lapsed or left and one of another service had taken its address, packets of the former service's open flows still went to the address, so they reached the other service (design.md: packets reach only their own service), and those of the new service were dropped as an address conflict.

Cause: two parts decided about one address by different rules. The leaser lets a lapsed or leaving backend server keep nobody from its address; the resolver gave the address to the lowest ID of all records.

Now both ask announcer.Record.HasAddress, and the resolver orders the records of one address by CompareOwnership: one that has the address first, then the lower ID. The order depends on the records only, so entries with the same records decide the same, in whatever order these arrived. A lapsed backend server whose address nobody has taken keeps it for its open flows, as before.

Cost: flows of the former service that are still open at a taken address get no packets any more. Still wrong: once the new backend server lapses or leaves too, the ID decides again.

--- a/entry/services/leaser/leaser.go
+++ b/entry/services/leaser/leaser.go
@@ -211,7 +211,7 @@
 // address must belong to one service only, because packets are assigned by address.
 func (m *Machine) findAddressOwner(a announcer.Announcement) (announcer.ID, bool) {
 	for id, record := range m.records {
-		if record.Address == a.Address && id != a.ID && !record.Lapsed && record.State != announcer.StateLeaving {
+		if record.Address == a.Address && id != a.ID && record.HasAddress() {
 			return id, true
 		}
 	}
--- a/entry/services/resolver/resolver.go
+++ b/entry/services/resolver/resolver.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/redwingledge/redwingledge/entry/services/translator"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
@@ -34,9 +33,9 @@
 	conflicts int
 }
 
-// NewTable returns the table for a catalog and the records of backend servers. If two records claim
-// one endpoint, every entry assigns it to the one with the lower ID, and the other backend server
-// gets no packets.
+// NewTable returns the table for a catalog and the records of backend servers. If several records claim
+// one endpoint, every entry assigns it to the greatest one by [announcer.Record.CompareOwnership], and
+// the other backend servers get no packets.
 func NewTable(catalog cataloger.Catalog, records []announcer.Record) *Table {
 	table := &Table{
 		services:  make(map[Endpoint]string),
@@ -56,9 +55,7 @@
 		}
 	}
 	sorted := slices.Clone(records)
-	slices.SortFunc(sorted, func(a, b announcer.Record) int {
-		return strings.Compare(a.ID.String(), b.ID.String())
-	})
+	slices.SortFunc(sorted, func(a, b announcer.Record) int { return b.CompareOwnership(a) })
 	for _, record := range sorted {
 		serviceAddress, ok := findSameFamily(addresses[record.Service], record.Address)
 		if !ok {
--- a/shared/models/announcer/record.go
+++ b/shared/models/announcer/record.go
@@ -35,6 +35,30 @@
 // does not consider what operators have drained or taken out.
 func (r Record) AcceptsNewFlows() bool { return r.State == StateReady && !r.Lapsed }
 
+// HasAddress reports whether the backend server keeps others from its address: its lease is in force
+// and it is not leaving.
+func (r Record) HasAddress() bool { return !r.Lapsed && r.State != StateLeaving }
+
+// CompareOwnership orders the records of one address. The address belongs to the greatest one: one
+// that has it before one that has lapsed or is leaving, then the one with the lower ID.
+func (r Record) CompareOwnership(other Record) int {
+	return cmp.Or(
+		compareBool(r.HasAddress(), other.HasAddress()),
+		cmp.Compare(other.ID.String(), r.ID.String()),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // WithLapsed returns a copy with the given lease state and the next epoch.
 func (r Record) WithLapsed(lapsed bool) Record {
 	r.Lapsed = lapsed
