Give an address to the backend server that took it last

What callers saw: after another backend server had taken the address of a lapsed one, one late announcement or forwarded renewal of the former restored its record. Both then accepted new flows and requests at one address; packets went to the service with the lower ID, so one service's packets were delivered to another's process or dropped. After the one that had taken the address had left or lapsed as well, packets of the former's open flows reached it again if that had the lower ID.

Cause: the leaser checked the address only when an announcement was the first or changed the address, so a lease was restored unchecked. And records did not tell who had come last: the state of the lease and the ID cannot.

Records now carry a claim: an announcement that takes an address gets the highest claim there plus 1. CompareOwnership asks the claim first. Every announcement and renewal is checked, and is refused while another backend server owns the address and has it, as a first announcement was before. An entry that has not heard of the taking still restores the former record; all entries show that one as lapsed, because its claim is lower, its server is refused, and so its lease expires. Owners are computed from the records alone; Compare and the hash of records include the claim, as one announcement applied at two entries may get two claims.

Cost: an index by address; 1 to 9 bytes for each record at an address that was taken. The former server gets its address back only when it announces itself after the owner has lapsed or left. A gateway that has a record already does not see that it is shown as lapsed, until it lapses.

--- a/entry/services/gossiper/record.go
+++ b/entry/services/gossiper/record.go
@@ -94,12 +94,14 @@
 }
 
 func recordValue(key uint64, r announcer.Record) uint64 {
-	var buf [32]byte
-	binary.LittleEndian.PutUint64(buf[0:], key)
-	binary.LittleEndian.PutUint64(buf[8:], r.Incarnation)
-	binary.LittleEndian.PutUint64(buf[16:], r.Sequence)
-	binary.LittleEndian.PutUint64(buf[24:], r.Epoch)
-	return xxhash.Sum64(buf[:]) ^ hasher.String(r.Holder)
+	buf := make([]byte, 0, 40)
+	for _, field := range []uint64{key, r.Incarnation, r.Sequence, r.Epoch} {
+		buf = binary.LittleEndian.AppendUint64(buf, field)
+	}
+	if r.Claim > 0 { // Entries of an earlier version know no claims.
+		buf = binary.LittleEndian.AppendUint64(buf, r.Claim)
+	}
+	return xxhash.Sum64(buf) ^ hasher.String(r.Holder)
 }
 
 func compareIDs(a, b announcer.ID) int {
--- a/entry/services/leaser/lease.go
+++ b/entry/services/leaser/lease.go
@@ -71,17 +71,27 @@
 	if !ok || held == nil || r.Incarnation != record.Incarnation || r.Sequence <= held.sequence {
 		return
 	}
+	claim, _, ok := m.claimAddress(record.Announcement)
+	if !ok {
+		m.counts.AddressConflicts++
+		return
+	}
 	m.counts.Renewed++
 	held.sequence, held.renewed = r.Sequence, true
 	held.expiresAt = m.now.Add(m.settings.Lease)
 	if record.Lapsed {
 		m.counts.Restores++
 		record.Sequence = r.Sequence
-		restored := record.WithLapsed(false)
+		restored := record.WithLapsed(false).WithClaim(claim)
 		restored.Holder, restored.RampStep = m.settings.Name, 0
 		m.changeRecord(restored)
 		return
 	}
+	if claim != record.Claim {
+		record.Sequence = r.Sequence
+		m.changeRecord(record.WithHolder(m.settings.Name).WithClaim(claim))
+		return
+	}
 	if record.Holder != m.settings.Name {
 		m.counts.Adoptions++
 		m.changeRecord(record.WithHolder(m.settings.Name))
--- a/entry/services/leaser/leaser.go
+++ b/entry/services/leaser/leaser.go
@@ -70,10 +70,14 @@
 	// absentSince is the time at which a former member left the live members.
 	absentSince map[string]time.Time
 	records     map[announcer.ID]announcer.Record
+	addresses   addressIndex
 	leases      map[announcer.ID]*lease
 	// unreachable holds the records that are published as lapsed because no
 	// reachable entry tracks their lease.
-	unreachable           map[announcer.ID]bool
+	unreachable map[announcer.ID]bool
+	// displaced holds the records that are published as lapsed because their address belongs to
+	// another one.
+	displaced             map[announcer.ID]bool
 	pendingBatches        map[string]*batch
 	sentRenewals          map[announcer.ID]sentRenewal
 	nextFlush             time.Time
@@ -88,6 +92,7 @@
 		settings: settings, now: now, lastTick: now,
 		members: make(map[string]messenger.Member), namesByDataCentre: make(map[string][]string),
 		absentSince: make(map[string]time.Time), records: make(map[announcer.ID]announcer.Record),
+		addresses: make(addressIndex), displaced: make(map[announcer.ID]bool),
 		leases: make(map[announcer.ID]*lease), unreachable: make(map[announcer.ID]bool), pendingBatches: make(map[string]*batch),
 		sentRenewals: make(map[announcer.ID]sentRenewal),
 	}
@@ -175,47 +180,45 @@
 // applyAnnouncement applies an announcement that changes the record, or renews the lease.
 func (m *Machine) applyAnnouncement(a announcer.Announcement) {
 	known, ok := m.records[a.ID]
-	held := m.leases[a.ID]
-	if !ok || a.Address != known.Address {
-		if owner, taken := m.findAddressOwner(a); taken {
-			m.counts.AddressConflicts++
-			m.emit(Answered{AddressOwner: owner})
-			return
-		}
-	}
-	switch {
-	case !ok:
-		m.applyNew(a)
-	case a.Incarnation < known.Incarnation,
-		a.Incarnation == known.Incarnation && a.Sequence < known.Sequence,
-		// A retransmission gets the first response, but only while the record is unchanged and active.
-		a.Incarnation == known.Incarnation && a.Sequence == known.Sequence && (known.Lapsed || a != known.Announcement),
-		held != nil && a.Incarnation == held.incarnation && a.Sequence < held.sequence:
+	if ok && m.isStale(a, known) {
 		m.counts.Stale++
 		m.emit(Answered{Stale: true})
 		return
-	case a.Incarnation > known.Incarnation:
-		m.applyNew(a)
+	}
+	claim, owner, ok := m.claimAddress(a)
+	if !ok {
+		m.counts.AddressConflicts++
+		m.emit(Answered{AddressOwner: owner})
+		return
+	}
+	switch {
+	case a.Incarnation > known.Incarnation: // Also if the backend server is unknown.
+		m.applyNew(a, claim)
 	case known.Lapsed && a.Sequence > known.Sequence:
 		m.counts.Restores++
-		m.applyChange(a, known, 0)
-	case a.Sequence > known.Sequence && differs(a, known.Announcement):
-		m.applyChange(a, known, known.RampStep)
+		m.applyChange(a, known, 0, claim)
+	case a.Sequence > known.Sequence && (differs(a, known.Announcement) || claim != known.Claim):
+		m.applyChange(a, known, known.RampStep, claim)
 	default:
 		m.renew(a)
 	}
 	m.emit(Answered{})
 }
 
-// findAddressOwner returns another active backend server with the address of a. An
-// address must belong to one service only, because packets are assigned by address.
-func (m *Machine) findAddressOwner(a announcer.Announcement) (announcer.ID, bool) {
-	for id, record := range m.records {
-		if record.Address == a.Address && id != a.ID && record.HasAddress() {
-			return id, true
-		}
+// isStale reports whether a later announcement than a has been applied.
+func (m *Machine) isStale(a announcer.Announcement, known announcer.Record) bool {
+	held := m.leases[a.ID]
+	switch {
+	case a.Incarnation != known.Incarnation:
+		return a.Incarnation < known.Incarnation
+	case held != nil && a.Incarnation == held.incarnation && a.Sequence < held.sequence:
+		return true
+	case a.Sequence == known.Sequence:
+		// A retransmission gets the first response, but only while the record is unchanged and active.
+		return known.Lapsed || a != known.Announcement
+	default:
+		return a.Sequence < known.Sequence
 	}
-	return announcer.ID{}, false
 }
 
 // differs reports whether two announcements differ in more than their sequence.
@@ -224,14 +227,15 @@
 	return a != b
 }
 
-func (m *Machine) applyNew(a announcer.Announcement) {
+func (m *Machine) applyNew(a announcer.Announcement, claim uint64) {
 	m.counts.Applied++
-	m.changeRecord(announcer.Record{Announcement: a, Holder: m.holderOf(a.Host, a.DataCentre), Epoch: 1})
+	m.changeRecord(announcer.Record{Announcement: a, Holder: m.holderOf(a.Host, a.DataCentre), Epoch: 1, Claim: claim})
 }
 
-func (m *Machine) applyChange(a announcer.Announcement, known announcer.Record, ramp uint8) {
+func (m *Machine) applyChange(a announcer.Announcement, known announcer.Record, ramp uint8, claim uint64) {
 	m.counts.Applied++
 	changed := known.WithHolder(m.holderOf(a.Host, a.DataCentre))
+	changed.Claim = claim
 	changed.Announcement, changed.Lapsed, changed.RampStep = a, false, ramp
 	m.changeRecord(changed)
 }
@@ -257,19 +261,30 @@
 
 // storeRecord stores a record that this or another entry has changed, unless a newer one is known.
 func (m *Machine) storeRecord(record announcer.Record) {
-	if known, ok := m.records[record.ID]; ok && record.Compare(known) < 0 {
+	known, ok := m.records[record.ID]
+	if ok && record.Compare(known) < 0 {
 		return
 	}
 	m.records[record.ID] = record
+	m.addresses.remove(known)
+	m.addresses.add(record)
 	m.updateLease(record)
 	if record, ok := m.records[record.ID]; ok {
 		m.publish(record)
+		m.updateOwnership(record.Address)
+	}
+	if known.Address != record.Address {
+		m.updateOwnership(known.Address)
 	}
 }
 
 func (m *Machine) remove(id announcer.ID) {
+	removed := m.records[id]
+	m.addresses.remove(removed)
 	delete(m.records, id)
 	delete(m.leases, id)
 	delete(m.unreachable, id)
+	delete(m.displaced, id)
 	m.emit(Removed{ID: id})
+	m.updateOwnership(removed.Address)
 }
--- a/entry/services/leaser/view.go
+++ b/entry/services/leaser/view.go
@@ -9,15 +9,16 @@
 // publish emits a record for the other components of the entry.
 func (m *Machine) publish(record announcer.Record) {
 	m.unreachable[record.ID] = m.isUnreachable(record)
+	m.displaced[record.ID] = m.isDisplaced(record)
 	m.emit(RecordPublished{Record: m.effectiveRecord(record)})
 }
 
 // effectiveRecord returns the record as it is published. A record whose lease no
 // reachable entry tracks is published as lapsed, but this is not gossiped: after a
 // network partition, a data centre keeps the leases that its own entries have
-// tracked in the meantime.
+// tracked in the meantime. The same holds for a record whose address belongs to another one.
 func (m *Machine) effectiveRecord(record announcer.Record) announcer.Record {
-	if m.unreachable[record.ID] {
+	if m.unreachable[record.ID] || m.displaced[record.ID] {
 		record.Lapsed = true
 	}
 	return record
--- a/shared/models/announcer/record.go
+++ b/shared/models/announcer/record.go
@@ -16,18 +16,21 @@
 	// RampStep is the slow-start step, from 0 at the start of the backend server
 	// to RampSteps. Each step raises the load limit.
 	RampStep uint8 `cbor:"ramp_step"`
+	// Claim counts the backend servers that have had the address. It tells which one came last.
+	Claim uint64 `cbor:"claim,omitempty"`
 }
 
 // RampSteps is the slow-start step at which a backend server has its full weight.
 const RampSteps = 3
 
-// Compare orders records by incarnation, sequence, epoch and holder.
+// Compare orders records by incarnation, sequence, epoch, holder and claim.
 func (r Record) Compare(other Record) int {
 	return cmp.Or(
 		cmp.Compare(r.Incarnation, other.Incarnation),
 		cmp.Compare(r.Sequence, other.Sequence),
 		cmp.Compare(r.Epoch, other.Epoch),
 		cmp.Compare(r.Holder, other.Holder),
+		cmp.Compare(r.Claim, other.Claim),
 	)
 }
 
@@ -39,10 +42,12 @@
 // and it is not leaving.
 func (r Record) HasAddress() bool { return !r.Lapsed && r.State != StateLeaving }
 
-// CompareOwnership orders the records of one address. The address belongs to the greatest one: one
-// that has it before one that has lapsed or is leaving, then the one with the lower ID.
+// CompareOwnership orders the records of one address. The address belongs to the greatest one: the one
+// with the highest claim, then one that has it before one that has lapsed or is leaving, then the one
+// with the lower ID.
 func (r Record) CompareOwnership(other Record) int {
 	return cmp.Or(
+		cmp.Compare(r.Claim, other.Claim),
 		compareBool(r.HasAddress(), other.HasAddress()),
 		cmp.Compare(other.ID.String(), r.ID.String()),
 	)
@@ -66,6 +71,13 @@
 	return r
 }
 
+// WithClaim returns a copy with another claim to its address and the next epoch.
+func (r Record) WithClaim(claim uint64) Record {
+	r.Claim = claim
+	r.Epoch++
+	return r
+}
+
 // WithRampStep returns a copy with the given slow-start step, at most RampSteps,
 // and the next epoch.
 func (r Record) WithRampStep(step uint8) Record {
