Test that no open flow reaches another service at its address

The test of the resolver looks at the table alone. This one sends a packet of an open flow through the forwarder after another service has taken the address of its backend server.

--- a/entry/services/forwarder/forwarder_test.go
+++ b/entry/services/forwarder/forwarder_test.go
@@ -162,6 +162,31 @@
 	require.Empty(t, f.sender.to, "a backend server of an unknown service must not reach callers")
 }
 
+// Guards against packets of an open flow that reach another service at the address of its backend server.
+func TestTakenAddressGetsNoPacketsOfFormerService(t *testing.T) {
+	t.Parallel()
+	former := record("web", "h4", backend4)
+	f := newFixture(t, former)
+	f.handle(tcpPacket(t, caller4, address4, true), 0, fabric)
+	f.requireSent(t, fabric, caller4, backend4)
+
+	other := netip.MustParseAddrPort("192.0.2.2:80")
+	f.HandleInput(f.now, forwarder.CatalogChanged{Catalog: cataloger.Catalog{
+		Version:     2,
+		DataCentres: []cataloger.DataCentre{{Name: "a", Region: "r"}},
+		Services: []cataloger.Service{
+			{Name: "web", Kind: cataloger.KindFlow, Protocol: cataloger.ProtocolTCP, SprayScope: cataloger.SprayRegion, Addresses: []netip.AddrPort{address4}},
+			{Name: "zoo", Kind: cataloger.KindFlow, Protocol: cataloger.ProtocolTCP, SprayScope: cataloger.SprayRegion, Addresses: []netip.AddrPort{other}},
+		},
+	}})
+	f.HandleInput(f.now, forwarder.RecordsChanged{Changed: []announcer.Record{former.WithLapsed(true), record("zoo", "h5", backend4).WithClaim(1)}})
+	sent := len(f.sender.to)
+	f.handle(tcpPacket(t, caller4, address4, false), 0, fabric)
+	require.Len(t, f.sender.to, sent)
+	f.handle(tcpPacket(t, backend4, caller4, false), 0, fabric)
+	f.requireSent(t, fabric, other, caller4)
+}
+
 // Guards against packets that are forwarded to or from a removed backend server.
 func TestRemovedServerGetsNoPackets(t *testing.T) {
 	t.Parallel()
