Reset no flow of the product's packet path for silence

What callers saw: nothing that was measured.

Cause: silence was taken for a proof. A peer keeps no line for a flow whose responses it carries in a settled bucket; a peer that is taken for dead is not asked, nor is anyone without peers; and acknowledgements of a caller need no response. FlagReset never expired, so a response that passed elsewhere later did not lift it.

Change: entries of the product send no resets. No proof is left to reset by: a record of a later start proves that the former one has ended, but not on which one a flow was opened, since lines carry no start, entries hear of it one after the other and callers use ports again. Where it were true, the reset would add nothing: packets go to the address of the new start, which resets what it does not know (RFC 9293, 3.10.7.1). Entries of both versions work together: a new one skips the queries of an old one, which then resets nothing, as without a full set of answers it never did.

No bound changed.

The price: callers of a flow that its backend server has lost without a reset, or whose backend server is gone with its address, wait until their own timeouts.

--- a/entry/services/forwarder/forwarder.go
+++ b/entry/services/forwarder/forwarder.go
@@ -59,7 +59,7 @@
 }
 
 type counters struct {
-	forwarded, returned, relayed, held, resets *expvar.Int
+	forwarded, returned, relayed, held *expvar.Int
 }
 
 // heldPacket is a packet that waits for a placement decision.
@@ -89,7 +89,6 @@
 			returned:  set.Int("packets_returned"),
 			relayed:   set.Int("packets_relayed"),
 			held:      set.Int("packets_held"),
-			resets:    set.Int("packets_reset"),
 		},
 	}
 	for _, reason := range translator.Reasons() {
@@ -147,8 +146,6 @@
 		f.heldPackets[decision.Ticket] = heldPacket{
 			inner: append([]byte(nil), f.packet.Inner...), source: f.packet.Source, destination: f.packet.Destination,
 		}
-	case placer.ActionReset:
-		f.reset()
 	case placer.ActionDrop:
 		f.drop(dropReason(decision.Reason))
 	}
@@ -181,22 +178,6 @@
 	f.send(to.address, f.nameHash)
 }
 
-// reset sends a TCP reset to the caller because its flow no longer exists.
-func (f *Forwarder) reset() {
-	if f.packet.Protocol != translator.ProtocolTCP || !f.packet.Flags.Has(translator.FlagACK) {
-		f.drop(translator.ReasonNoBackendServer)
-		return
-	}
-	inner, err := translator.CreateReset(f.packet.Destination, f.packet.Source, f.packet.Acknowledgment)
-	if err != nil {
-		f.drop(translator.ReasonMalformed)
-		return
-	}
-	f.counters.resets.Add(1)
-	f.packet.Inner = inner
-	f.send(f.settings.Fabric, 0)
-}
-
 // handleReply processes a packet from a backend server to a caller.
 func (f *Forwarder) handleReply(now time.Time, from backend) {
 	p := &f.packet
--- a/entry/services/placer/decide.go
+++ b/entry/services/placer/decide.go
@@ -24,8 +24,6 @@
 		m.counters.Relayed++
 	case ActionHold:
 		m.counters.Held++
-	case ActionReset:
-		m.counters.Reset++
 	case ActionDrop:
 		m.counters.Dropped++
 	}
@@ -74,10 +72,6 @@
 	if b.isTakenOut {
 		return drop(ReasonTakenOut), true
 	}
-	if cached.Has(tracker.FlagReset) && !packet.isSYN() {
-		cached.Flags = cached.Flags&^tracker.FlagReset | tracker.FlagClosed
-		return Decision{Action: ActionReset}, true
-	}
 	m.touch(cached, packet)
 	if packet.RelayedBy != 0 {
 		m.queueHint(packet.RelayedBy, toPlacement(cached))
@@ -125,27 +119,19 @@
 	cached.Flags &^= tracker.FlagCopied
 	switch {
 	case packet.isSYN():
-		cached.Flags &^= tracker.FlagClosed | tracker.FlagReset
+		cached.Flags &^= tracker.FlagClosed
 	case packet.isClosing():
 		cached.Flags |= tracker.FlagClosed
 		cached.Flags &^= tracker.FlagOnlySYN
 	default:
 		cached.Flags &^= tracker.FlagOnlySYN
 	}
-	if cached.Unanswered == 0 {
-		cached.UnansweredSince = m.sec
-	}
-	if cached.Unanswered < 255 {
-		cached.Unanswered++
-	}
-	m.checkSilence(cached)
 }
 
 // cacheFlow adds a flow with its target to the cache.
 func (m *Machine) cacheFlow(svc *service, packet Packet, target uint32) *tracker.Flow {
 	cached := tracker.Flow{
-		Fingerprint: packet.Flow, Target: target, Packets: 1,
-		LastSeen: m.sec, UnansweredSince: m.sec, Unanswered: 1,
+		Fingerprint: packet.Flow, Target: target, Packets: 1, LastSeen: m.sec,
 	}
 	switch {
 	case packet.Protocol == ProtocolUDP:
@@ -288,15 +274,13 @@
 		return
 	}
 	b := &m.backends[reply.Backend]
-	b.lastReply = m.sec
 	isClosing := reply.Protocol == ProtocolTCP && reply.Flags&(FlagFIN|FlagRST) != 0
 	cached := m.cache.Lookup(reply.Flow, m.sec)
 	switch {
 	case cached == nil:
 		m.learnFromReply(reply, b, isClosing)
 	case cached.Target == reply.Backend:
-		cached.LastSeen, cached.LastReply, cached.Unanswered = m.sec, m.sec, 0
-		cached.Flags &^= tracker.FlagActivityQueried | tracker.FlagReset
+		cached.LastSeen = m.sec
 		if isClosing {
 			cached.Flags |= tracker.FlagClosed
 		}
@@ -313,7 +297,7 @@
 	}
 	cached := tracker.Flow{
 		Fingerprint: reply.Flow, Target: reply.Backend,
-		LastSeen: m.sec, LastReply: m.sec, Flags: tracker.FlagCopied,
+		LastSeen: m.sec, Flags: tracker.FlagCopied,
 	}
 	if reply.Protocol == ProtocolUDP {
 		cached.Flags |= tracker.FlagUDP
--- a/entry/services/placer/machine.go
+++ b/entry/services/placer/machine.go
@@ -31,10 +31,7 @@
 	// PlacementBudget and DigestBudget bound the bytes sent per second.
 	PlacementBudget int
 	DigestBudget    int
-	// SilenceThreshold is the time without a response, in seconds, after which peers are asked
-	// whether the flow is silent.
-	SilenceThreshold uint32
-	Timeouts         tracker.Timeouts
+	Timeouts        tracker.Timeouts
 }
 
 // DefaultConfig returns the parameters of docs/design.md for an entry.
@@ -43,7 +40,7 @@
 		Name: name, DataCentre: dataCentre, MaxFlows: 400_000,
 		ActivationDelay: time.Second, SettleDelay: 3 * time.Second, QueryTimeout: 100 * time.Millisecond,
 		FreezeThreshold: time.Second, MaxHeldPackets: 1024,
-		PlacementBudget: 1500, DigestBudget: 2000, SilenceThreshold: 10,
+		PlacementBudget: 1500, DigestBudget: 2000,
 		Timeouts: tracker.DefaultTimeouts,
 	}
 }
@@ -75,8 +72,7 @@
 	isPresent  bool
 	isTakenOut bool
 	// weight is the weight in the newest view, which may still be pending.
-	weight    uint64
-	lastReply uint32
+	weight uint64
 }
 
 type entry struct {
@@ -104,7 +100,7 @@
 
 // Counters count what a Machine has done.
 type Counters struct {
-	Forwarded, Relayed, Held, Dropped, Reset uint64
+	Forwarded, Relayed, Held, Dropped uint64
 	// DroppedPlacements counts the copies and hints dropped because the queue of a peer was
 	// full, for lack of budget. Packets of flows without a hint are relayed again.
 	DroppedPlacements uint64
@@ -137,7 +133,6 @@
 	start    startState
 	hasView  bool
 	resolver flowResolver
-	silence  silenceDetector
 	// replaced are the flows that were reopened on another target and not yet reported to all
 	// peers.
 	replaced        []placement
--- a/entry/services/placer/packet.go
+++ b/entry/services/placer/packet.go
@@ -68,8 +68,6 @@
 	ActionRelay
 	// ActionHold keeps the packet until a PacketReleased output with the same Decision.Ticket.
 	ActionHold
-	// ActionReset answers the caller with a TCP reset.
-	ActionReset
 )
 
 // Reason states why a packet is dropped.
--- a/entry/services/placer/step.go
+++ b/entry/services/placer/step.go
@@ -156,10 +156,6 @@
 		m.receiveDigestAck(from, msg)
 	case messenger.Readiness:
 		m.receiveReadiness(from, msg)
-	case messenger.ActivityQuery:
-		m.answerSilenceQuery(from, msg)
-	case messenger.ActivityAnswer:
-		m.receiveSilenceAnswer(from, msg)
 	}
 }
 
@@ -177,7 +173,6 @@
 	m.expireQueries()
 	m.sendQueries()
 	m.sendPlacements()
-	m.sendSilenceQuery()
 	m.sendDigests()
 	m.advanceLeave()
 }
--- a/entry/services/translator/decoder.go
+++ b/entry/services/translator/decoder.go
@@ -163,7 +163,6 @@
 		}
 		packet.Protocol = ProtocolTCP
 		packet.Flags = tcpFlags(&d.tcp)
-		packet.Sequence, packet.Acknowledgment = d.tcp.Seq, d.tcp.Ack
 		packet.Source = netip.AddrPortFrom(source, uint16(d.tcp.SrcPort))
 		packet.Destination = netip.AddrPortFrom(destination, uint16(d.tcp.DstPort))
 	case layers.IPProtocolUDP:
--- a/entry/services/translator/packet.go
+++ b/entry/services/translator/packet.go
@@ -42,9 +42,6 @@
 	Destination netip.AddrPort
 	Protocol    Protocol
 	Flags       Flags
-	// Sequence and Acknowledgment are the numbers of a TCP segment.
-	Sequence       uint32
-	Acknowledgment uint32
 	// RelayedBy is the hash of the name of the entry that relayed the packet, or 0
 	// if the fabric delivered it.
 	RelayedBy uint64
