--- a/control/routers/operators/router.go
+++ b/control/routers/operators/router.go
@@ -139,17 +139,14 @@
 	} else if err != nil {
 		return nil, r.callError(err)
 	}
-	catalog := machine.Catalog()
-	_, head, _ := machine.ListAudit(0, 0)
+	overview := machine.Overview()
+	catalog := overview.Catalog
 	answer := operator.Status{
 		Replica: r.planner.Status().Replica, Time: timer.ToTimestamp(r.planner.Now()), Version: catalog.Version,
 		DataCentres: catalog.DataCentres, Drained: catalog.Drained, Control: catalog.Control,
-		Load: r.planner.SummariseLoad(), OpenPlans: len(machine.Plans(false, maxListedPlans)), AuditHead: head,
+		Load: r.planner.SummariseLoad(), OpenPlans: min(overview.OpenPlans, maxListedPlans), AuditHead: overview.AuditHead, LastChange: overview.LastChange,
 	}
 	answer.Load.Servers = nil
-	if change, ok := machine.LastChange(); ok {
-		answer.LastChange = &change
-	}
 	return &answer, nil
 }
 
--- a/control/routers/operators/router_test.go
+++ b/control/routers/operators/router_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx/fxtest"
 	"google.golang.org/grpc/codes"
@@ -305,3 +306,34 @@
 		return len(n.machine.Plans(false, 1)) == 0
 	}, 10*time.Second, 10*time.Millisecond)
 }
+
+// Guards against a status that pairs a version with the change that made the next one.
+func TestStatusPairsVersionWithItsChange(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.bootstrap()
+	done := make(chan struct{})
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				status, err := call[operator.GetStatusRequest, operator.Status](f, "dayo's token", operator.MethodGetStatus, operator.GetStatusRequest{})
+				if assert.NoError(t, err) {
+					assert.Equal(t, status.Version, status.LastChange.Version)
+				}
+			}
+		})
+	}
+	for i := range 60 {
+		intents := []operator.Intent{drain, operator.Undrain{ID: drain.ID}}
+		plan := f.create("amina's token", fmt.Sprint("create-", i), intents[i%2]).Plan
+		require.Nil(t, f.confirm("amina's token", fmt.Sprint("confirm-", i), plan.ID).Refusal)
+	}
+	close(done)
+	readers.Wait()
+}
--- a/control/services/planner/machine.go
+++ b/control/services/planner/machine.go
@@ -116,10 +116,40 @@
 func (m *Machine) LastChange() (operator.Change, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if len(m.state.History) == 0 {
+	return m.state.lastChange()
+}
+
+func (s *state) lastChange() (operator.Change, bool) {
+	if len(s.History) == 0 {
 		return operator.Change{}, false
 	}
-	return m.state.History[len(m.state.History)-1], true
+	return s.History[len(s.History)-1], true
+}
+
+// Overview is the configuration in force and what belongs to it at the same moment.
+type Overview struct {
+	Catalog cataloger.Catalog
+	// LastChange is the change that created Catalog, or nil if there is none yet.
+	LastChange *operator.Change
+	// OpenPlans is the number of open plans.
+	OpenPlans int
+	AuditHead auditor.Head
+}
+
+// Overview returns an Overview. Reading its parts one by one could mix two versions.
+func (m *Machine) Overview() Overview {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	o := Overview{Catalog: m.state.Catalog, AuditHead: m.state.trail.Head()}
+	if change, ok := m.state.lastChange(); ok {
+		o.LastChange = &change
+	}
+	for _, r := range m.state.Plans {
+		if r.Plan.State == operator.PlanOpen {
+			o.OpenPlans++
+		}
+	}
+	return o
 }
 
 // Plans returns up to limit plans, newest first. It returns only open plans unless
