--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -74,9 +74,9 @@
 }
 
 // holderOf returns the backend server that holds the established flow f of a packet whose token names
-// another one, and false if the token is not known to be wrong. Two backend servers may have answered the opening
-// packet; the caller acknowledges data of the one that holds the flow, and each starts its sequence
-// anywhere.
+// another one, and false if the token is not known to be wrong. Two backend servers may have answered
+// the opening packet; the caller acknowledges data of the one that holds the flow, and each starts its
+// sequence anywhere.
 func (b *Balancer) holderOf(f *flow, p Packet, route director.Route) (director.Server, bool) {
 	distance := int32(p.Acknowledged - f.acknowledged)
 	if distance > maxAcknowledgedStep || distance < -maxAcknowledgedStep {
