Accept queued connections before a server stops

Cause: connections that wait in the kernel's accept queue are reset when the listener closes, although their callers are connected and have sent a request. Change: Shutdown accepts them first and shuts the socket down in the same call.

--- a/shared/modules/drainer/server.go
+++ b/shared/modules/drainer/server.go
@@ -20,17 +20,18 @@
 	pollInterval = 10 * time.Millisecond
 )
 
-// Server is an HTTP server whose Shutdown also waits up to 1 s for the first request on
-// connections that were just accepted. http.Server alone closes a connection whose first request
-// arrives after Shutdown was called.
+// Server is an HTTP server whose Shutdown also accepts the connections that wait in the kernel's
+// queue, and waits up to 1 s for the first request on connections that were just accepted.
+// http.Server alone resets the former, and closes a connection whose first request arrives after
+// Shutdown was called.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *queueListener
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
-	// isClosing is set once Shutdown is called.
-	isClosing bool
+	// isClosing is set once Shutdown is called, and isServing while Serve accepts connections.
+	isClosing, isServing bool
 }
 
 // connState is the state of a connection and the time at which it entered this state.
@@ -41,7 +42,7 @@
 
 // New returns a Server that accepts connections from listener. It sets server.ConnState.
 func New(server *http.Server, listener net.Listener) *Server {
-	s := &Server{http: server, listener: listener, conns: make(map[net.Conn]connState)}
+	s := &Server{http: server, listener: &queueListener{Listener: listener}, conns: make(map[net.Conn]connState)}
 	server.ConnState = s.trackState
 	return s
 }
@@ -52,6 +53,9 @@
 // Serve serves requests until Shutdown is called. It returns an error if the server stops for
 // another reason.
 func (s *Server) Serve() error {
+	s.mu.Lock()
+	s.isServing = true
+	s.mu.Unlock()
 	var err error
 	if s.http.TLSConfig != nil {
 		err = s.http.ServeTLS(s.listener, "", "")
@@ -60,6 +64,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isServing = false
 	if s.isClosing && (errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed)) {
 		return nil
 	}
@@ -83,7 +88,7 @@
 	s.mu.Lock()
 	s.isClosing = true
 	s.mu.Unlock()
-	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.listener.drain(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("close the listener: %w", err)
 	}
 	ticker := time.NewTicker(pollInterval)
@@ -102,11 +107,14 @@
 	return nil
 }
 
-// isBusy reports whether a connection has an open request, or is so new that a first request is
-// expected.
+// isBusy reports whether queued connections are still being accepted, or a connection has an open
+// request or is so new that a first request is expected.
 func (s *Server) isBusy(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isServing {
+		return true
+	}
 	for _, c := range s.conns {
 		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < newConnGrace {
 			return true
--- a/shared/modules/drainer/server_test.go
+++ b/shared/modules/drainer/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -92,3 +93,38 @@
 		require.NoError(t, s.Shutdown(t.Context()))
 	}
 }
+
+// Guards against connections that are reset because they waited in the kernel's accept queue when
+// the listener was closed: their callers were connected and had sent a request.
+func TestQueuedConnectionsAreAnswered(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepting := make(chan struct{})
+	s := drainer.New(&http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		// Delays the goroutine that accepts connections, so that all but the first one are queued.
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { <-accepting; return ctx },
+	}, listener)
+	served, stopped := make(chan error, 1), make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", s.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, request)
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	time.Sleep(20 * time.Millisecond)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(accepting)
+	for _, conn := range conns {
+		requireAnswer(t, conn)
+	}
+	require.NoError(t, <-stopped)
+	require.NoError(t, <-served)
+}
