--- a/shared/modules/reporter/reporter.go
+++ b/shared/modules/reporter/reporter.go
@@ -52,14 +52,35 @@
 // to encode the value.
 func (c *Counters) Func(name string, f func() any) { c.vars.Set(name, expvar.Func(f)) }
 
+// list returns all counters, sorted by name. Callers compute the values after it has returned: Do holds a lock
+// that adding a counter needs, and a gauge may wait for a lock whose holder adds one.
+func (c *Counters) list() []expvar.KeyValue {
+	var counters []expvar.KeyValue
+	c.vars.Do(func(kv expvar.KeyValue) { counters = append(counters, kv) })
+	return counters
+}
+
 // String returns all counters as a JSON object.
-func (c *Counters) String() string { return c.vars.String() }
+func (c *Counters) String() string {
+	var b strings.Builder
+	b.WriteByte('{')
+	for i, kv := range c.list() {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, "%q: %s", kv.Key, kv.Value)
+	}
+	b.WriteByte('}')
+	return b.String()
+}
 
 // Text returns all counters as lines of a name and a value, sorted by name. The
 // name of a counter in a set is prefixed by the name of the set and a dot.
 func (c *Counters) Text() string {
 	var b strings.Builder
-	c.vars.Do(func(kv expvar.KeyValue) { writeText(&b, kv) })
+	for _, kv := range c.list() {
+		writeText(&b, kv)
+	}
 	return b.String()
 }
 
