Keep a leader while disks of control are slow

Change: steps go on during a slow save, and only what promises nothing unstored is sent before it (docs/design/slow-disks.md). An unanswered window bounds what a replica is sent.

--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -84,6 +84,14 @@
 	if err := declaration.Check(); err != nil {
 		return ErrInvalidDeclaration{Reason: err.Error()}
 	}
+	if err := s.checkLeading(); err != nil {
+		return err
+	}
+	// Callers repeat a call whose commit takes longer than they wait. Each repetition would be stored again, and with a
+	// slow disk none would ever end in time.
+	if s.machine.Declared().Version >= declaration.Version {
+		return nil
+	}
 	return s.propose(ctx, Declare{Declaration: declaration})
 }
 
@@ -113,6 +121,12 @@
 	return slices.ContainsFunc(s.replica.Status().Membership.Members, func(m storer.Member) bool { return m.Name == name })
 }
 
+// Servers returns all backend servers.
+func (s *Service) Servers() []director.Server { return s.machine.Servers() }
+
+// IsEntry reports whether name is that of an entry that follows the state; see Enlist.
+func (s *Service) IsEntry(name string) bool { return s.machine.HasEntry(name) }
+
 // IsCurrent reports whether this replica is in contact with a leader that has a majority,
 // and has applied everything that was committed before that contact began.
 func (s *Service) IsCurrent() bool { return s.replica.Status().IsCurrent() }
--- a/control/services/director/service_test.go
+++ b/control/services/director/service_test.go
@@ -188,6 +188,16 @@
 		f.replica.status.Membership = members(2)
 		require.True(t, replicator.IsErrNoQuorum(f.service.Declare(t.Context(), declaration(1).Declaration)))
 	})
+	t.Run("a repeated declaration is acknowledged and not stored again", func(t *testing.T) {
+		t.Parallel()
+		f := newFixture(t)
+		f.declare()
+		stored := f.replica.index
+		f.declare()
+		require.Equal(t, stored, f.replica.index)
+		f.replica.status.HasQuorum = false
+		require.True(t, replicator.IsErrNoQuorum(f.service.Declare(t.Context(), declaration(1).Declaration)))
+	})
 	t.Run("a read without a quorum fails", func(t *testing.T) {
 		t.Parallel()
 		f := newFixture(t)
--- a/control/services/driver/counting.go
+++ b/control/services/driver/counting.go
@@ -9,7 +9,7 @@
 
 type metrics struct {
 	messagesSent, messagesReceived, sendErrors, sendsDropped, receivesDropped,
-	callersRefused, snapshotErrors *expvar.Int
+	callersRefused, snapshotErrors, slowSaves *expvar.Int
 	// syncTime is the time that the disk takes to make the output of a step durable.
 	syncTime *reporter.Histogram
 }
@@ -23,6 +23,7 @@
 		receivesDropped:  c.Int("replica_receives_dropped"),
 		callersRefused:   c.Int("replica_callers_refused"),
 		snapshotErrors:   c.Int("replica_snapshot_errors"),
+		slowSaves:        c.Int("replica_slow_saves"),
 		syncTime:         c.Histogram("sync_time"),
 	}
 }
--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
@@ -24,12 +25,15 @@
 	if !m.membership().IsVoter(m.id) || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
 		return
 	}
+	if m.role == RoleCandidate {
+		m.failedCandidacies++
+	}
 	m.leader = storer.Identity{}
 	m.votes = map[storer.Identity]bool{m.id: true}
-	m.voteDeadline = m.now.Add(m.settings.ElectionTimeout)
 	term := m.term + 1
 	if preVote {
 		m.role = RolePreCandidate
+		m.voteDeadline = m.now.Add(m.settings.ElectionTimeout)
 		if m.isFirstElection() {
 			m.scheduleFirstElection()
 		} else {
@@ -37,9 +41,7 @@
 		}
 	} else {
 		m.role = RoleCandidate
-		// Voters store their vote before they respond, so responses take longer.
-		m.scheduleEarlyElection()
-		m.electionAt = m.electionAt.Add(m.settings.ElectionTimeout / earlyElectionDivisor)
+		m.scheduleCandidacy()
 		m.setTerm(term, m.id)
 		m.counts.Elections++
 	}
@@ -53,6 +55,27 @@
 	m.countVotes()
 }
 
+// maxCandidacyTimeouts bounds the election timeouts for which a candidate waits for votes after failed candidacies. A
+// save that takes longer is overdue.
+const maxCandidacyTimeouts = saveTimeoutFactor
+
+// scheduleCandidacy schedules the next election of a candidate, and the time until which it accepts votes. Voters store
+// their vote before they respond, so responses take longer than those to pre-votes. After a failed candidacy it waits
+// longer, as the disk of a voter may be slow.
+func (m *Machine) scheduleCandidacy() {
+	m.scheduleEarlyElection()
+	wait := m.settings.ElectionTimeout / earlyElectionDivisor
+	if m.failedCandidacies > 0 {
+		wait = m.settings.ElectionTimeout * time.Duration(min(m.failedCandidacies, maxCandidacyTimeouts))
+	}
+	m.electionAt = m.electionAt.Add(wait)
+	m.voteDeadline = m.now.Add(m.settings.ElectionTimeout)
+	if m.settings.SkipVerification {
+		// Disks keep votes, so a late vote counts as well.
+		m.voteDeadline = m.electionAt
+	}
+}
+
 // isFirstElection reports whether this replica has recently started and had no contact to a
 // leader yet. Other voters may start at any moment and should be asked soon afterwards.
 func (m *Machine) isFirstElection() bool {
@@ -92,7 +115,7 @@
 			m.electionDeferrals++
 			m.scheduleEarlyElection()
 		}
-		m.send(from, &VoteResponse{PreVote: true, Term: m.term, RequestTerm: req.Term, Granted: granted})
+		m.sendEarly(m.recipient(from), &VoteResponse{PreVote: true, Term: m.term, RequestTerm: req.Term, Granted: granted})
 		return
 	}
 	if req.Term > m.term {
@@ -140,6 +163,9 @@
 	case RolePreCandidate:
 		m.startElection(false, false)
 	case RoleCandidate:
-		m.startLeading()
+		// The own vote counts once it is durable, so the term of a leader always is.
+		if m.isTermStored() {
+			m.startLeading()
+		}
 	}
 }
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -87,8 +87,17 @@
 	Err error
 }
 
-// Output is implemented by the output types of the Machine. All Save outputs of a step must be
-// durable before any other output of the step is executed.
+// Saved reports that the output of the oldest steps with Save outputs is durable.
+type Saved struct {
+	sealedInput
+	Now time.Time
+	// Steps is the number of those steps.
+	Steps int
+}
+
+// Output is implemented by the output types of the Machine. They are executed in order, each once all Save outputs of
+// its step and of earlier steps are durable, but for those that MayPrecedeSaves: these are executed at once, in order
+// among themselves. Further steps may be taken meanwhile; Saved must report each step with Save outputs.
 type Output interface{ isOutput() }
 
 type sealedOutput struct{}
@@ -122,6 +131,27 @@
 	sealedOutput
 	To       storer.Member
 	Envelope Envelope
+	// MayPrecedeSaves reports that the message promises nothing that is not durable yet. A slow disk then delays no
+	// heartbeat.
+	MayPrecedeSaves bool
+}
+
+// MayPrecedeSaves reports whether an output promises nothing that is not durable yet, so that it does not wait for the
+// disk. Only messages may promise that: snapshots and committed entries are emitted once they are durable here.
+func MayPrecedeSaves(o Output) bool {
+	if send, ok := o.(Send); ok {
+		return send.MayPrecedeSaves
+	}
+	return !IsSave(o)
+}
+
+// IsSave reports whether an output must be durable before later ones are executed.
+func IsSave(o Output) bool {
+	switch o.(type) {
+	case SaveVote, SaveEntries, SaveSnapshot:
+		return true
+	}
+	return false
 }
 
 // Apply passes committed entries to the Applier in log order.
--- a/control/services/replicator/following.go
+++ b/control/services/replicator/following.go
@@ -15,17 +15,21 @@
 	}
 	if !m.hasLeader() {
 		// The leader may have committed more entries since the last contact.
-		m.caughtUpIndex = 0
+		m.caughtUpIndex, m.contactSince = 0, m.now
 	}
-	m.lastLeaderContact, m.electionDeferrals = m.now, 0
+	m.lastLeader, m.lastLeaderContact, m.electionDeferrals, m.failedCandidacies = from, m.now, 0, 0
 	m.resetElection()
 	return true
 }
 
 // updateCaughtUpIndex sets caughtUpIndex once this replica has committed everything up to the
 // leader's commit index and the last of it is of the leader's term. Entries of that term follow
-// all entries committed in older terms.
+// all entries committed in older terms. The first messages of a contact may have waited while this
+// replica was paused, so for one election timeout a greater commit index of the leader revokes it.
 func (m *Machine) updateCaughtUpIndex(leaderCommit uint64) {
+	if m.commitIndex < leaderCommit && m.now.Sub(m.contactSince) < m.settings.ElectionTimeout {
+		m.caughtUpIndex = 0
+	}
 	if m.caughtUpIndex != 0 || m.commitIndex < leaderCommit {
 		return
 	}
@@ -45,7 +49,19 @@
 		}
 	}
 	resp.Term = m.term
-	m.send(from, resp)
+	isDurable := !resp.Success || resp.MatchIndex <= m.saving.stored.index
+	switch {
+	case m.isSaveOverdue():
+		// Answers that wait for a disk that may have failed would come too late to count, and without end.
+	case !m.isTermStored() || !isDurable && len(req.Entries) > 0:
+		m.send(from, resp)
+	default:
+		if !isDurable {
+			// A heartbeat is answered at once, with what is durable.
+			resp.MatchIndex = m.saving.stored.index
+		}
+		m.sendEarly(m.recipient(from), resp)
+	}
 }
 
 // acceptEntries appends the entries of a request if they fit this log. It returns true and the
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -33,6 +33,26 @@
 	}
 }
 
+// requestElection asks the active voter with the longest log to start an election, as this leader can store nothing. It
+// returns false if there is none.
+func (m *Machine) requestElection() bool {
+	var successor storer.Member
+	longest := uint64(0)
+	for _, member := range m.membership().Members {
+		if member.ID == m.id || !member.Voter || !m.isActive(member.ID) {
+			continue
+		}
+		if match := m.leaderState.progress[member.ID].matchIndex; match >= longest {
+			successor, longest = member, match
+		}
+	}
+	if !successor.Voter {
+		return false
+	}
+	m.sendEarly(successor, &TimeoutNow{Term: m.term})
+	return true
+}
+
 func (m *Machine) handleTimeoutNow(from storer.Identity, msg *TimeoutNow) {
 	if msg.Term == m.term && m.leader == from && m.role == RoleFollower {
 		m.startElection(false, true)
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -20,7 +20,8 @@
 	// round and sentAt belong to the newest request that the replica has answered.
 	round  uint64
 	sentAt int64
-	// trackedAt is the leader's clock when it began to track the replica.
+	// trackedAt is the leader's clock when it began to track the replica or, for the leader before,
+	// at its last message.
 	trackedAt int64
 	// leavingUntil is the leader's clock until which the replica counts as leaving. The replica
 	// repeats its request until it stops.
@@ -28,6 +29,12 @@
 	// sendingSnapshot is the snapshot that is being sent, or nil. The replica has it up to offset.
 	sendingSnapshot *storer.Snapshot
 	offset          uint64
+	// isChunkSent reports that the chunk at offset was sent at chunkSentAt and may still arrive.
+	isChunkSent bool
+	chunkSentAt int64
+	window      window
+	// isBroadcastDue reports that the last broadcast left out this replica, as the window was full.
+	isBroadcastDue bool
 }
 
 type pendingRead struct {
@@ -54,9 +61,10 @@
 }
 
 func (m *Machine) startLeading() {
-	m.role, m.leader, m.lastLeaderContact, m.caughtUpIndex = RoleLeader, m.id, m.now, 0
+	predecessor, silentSince := m.lastLeader, int64(m.lastLeaderContact.Sub(m.started))
+	m.role, m.leader, m.lastLeader, m.lastLeaderContact, m.caughtUpIndex = RoleLeader, m.id, m.id, m.now, 0
 	m.counts.TermsLed++
-	m.electionDeferrals = 0
+	m.electionDeferrals, m.failedCandidacies = 0, 0
 	m.leaderState = &leaderState{
 		termStartIndex: m.log.last() + 1,
 		progress:       make(map[storer.Identity]*progress),
@@ -64,6 +72,11 @@
 		joins:          make(map[storer.Identity]storer.Member),
 	}
 	m.appendAsLeader(storer.EntryEmpty, nil)
+	m.leaderState.broadcastDue = true
+	// The silence of the earlier leader led to this election, so it counts from its last message.
+	if p := m.leaderState.progress[predecessor]; p != nil {
+		p.trackedAt = silentSince
+	}
 }
 
 // stepDown ends the leadership. The outcome of pending proposals is unknown.
@@ -94,7 +107,7 @@
 	l := m.leaderState
 	for _, member := range m.membership().Members {
 		if l.progress[member.ID] == nil && member.ID != m.id {
-			l.progress[member.ID] = &progress{nextIndex: m.log.last() + 1, sentAt: math.MinInt64, trackedAt: m.clock()}
+			l.progress[member.ID] = &progress{nextIndex: m.saving.stored.index + 1, sentAt: math.MinInt64, trackedAt: m.clock()}
 		}
 	}
 	for id := range l.progress {
@@ -104,12 +117,11 @@
 	}
 }
 
+// appendAsLeader appends an entry. It is sent and counted once it is durable.
 func (m *Machine) appendAsLeader(kind storer.EntryKind, data []byte) {
 	e := storer.Entry{Index: m.log.last() + 1, Term: m.term, Kind: kind, Data: data}
 	m.appendEntries([]storer.Entry{e})
 	m.updateProgress()
-	m.leaderState.broadcastDue = true
-	m.advanceCommit()
 }
 
 func (m *Machine) propose(in Propose) {
@@ -179,7 +191,7 @@
 
 func (m *Machine) tickLeading() {
 	l := m.leaderState
-	if !m.hasActiveQuorum() {
+	if m.isSaveOverdue() && m.requestElection() || !m.hasActiveQuorum() {
 		m.stepDown()
 		return
 	}
@@ -210,27 +222,35 @@
 	m.confirmReads()
 }
 
-// canSendEntries reports whether there are entries that may be sent to a replica now.
+// canSendEntries reports whether there are durable entries that may be sent to a replica now.
 func (m *Machine) canSendEntries(p *progress) bool {
-	return p.sendingSnapshot == nil && p.nextIndex <= m.log.last() && p.nextIndex-p.matchIndex <= maxInFlight
+	return p.sendingSnapshot == nil && p.nextIndex <= m.saving.stored.index && p.nextIndex-p.matchIndex <= maxInFlight
 }
 
+// sendAppend sends entries, a snapshot chunk or a heartbeat to a replica. While its window is full
+// it sends only heartbeats, and the next response makes up for the rest.
 func (m *Machine) sendAppend(to storer.Member, p *progress) {
+	p.window.forget(m.activeSince())
+	isFull := p.window.isFull(m.settings.MaxAppendBytes)
+	if p.isBroadcastDue = isFull; isFull && m.clock()-p.window.lastSentAt < int64(m.settings.Heartbeat) {
+		return
+	}
 	prev := p.nextIndex - 1
 	term, ok := m.log.term(prev)
 	if p.sendingSnapshot != nil || !ok {
-		m.sendSnapshot(to, p)
+		m.sendSnapshot(to, p, isFull)
 		return
 	}
 	req := &AppendRequest{
 		Term: m.term, PrevIndex: prev, PrevTerm: term, LeaderCommit: m.commitIndex,
 		Round: m.leaderState.round, SentAt: m.clock(),
 	}
-	if m.canSendEntries(p) {
-		req.Entries = m.log.slice(p.nextIndex, m.log.last(), m.settings.MaxAppendBytes)
+	if !isFull && m.canSendEntries(p) {
+		req.Entries = m.log.slice(p.nextIndex, m.saving.stored.index, m.settings.MaxAppendBytes)
 		p.nextIndex += uint64(len(req.Entries))
 	}
-	m.sendTo(to, req)
+	p.window.add(req.SentAt, sizeOf(req.Entries), isFull)
+	m.sendEarly(to, req)
 }
 
 // recordResponse updates the progress of a replica from its response. It returns nil if the
@@ -273,6 +293,10 @@
 		return
 	}
 	progressed := false
+	// A replica whose disk is slow answers heartbeats and names less than it was sent. That answers no other message.
+	if !resp.Success || resp.MatchIndex > p.matchIndex || resp.MatchIndex+1 >= p.nextIndex {
+		p.window.forget(resp.Echo.SentAt)
+	}
 	if resp.Success {
 		p.matchIndex = max(p.matchIndex, resp.MatchIndex)
 		p.nextIndex = max(p.nextIndex, p.matchIndex+1)
@@ -286,7 +310,7 @@
 	}
 	// Without progress the next heartbeat is soon enough. A request after each response would
 	// continue the exchange for ever.
-	if member, ok := m.membership().Get(from); ok && (progressed || m.canSendEntries(p)) {
+	if member, ok := m.membership().Get(from); ok && (progressed || p.isBroadcastDue || m.canSendEntries(p)) {
 		m.sendAppend(member, p)
 	}
 }
@@ -302,7 +326,7 @@
 		}
 		index := uint64(0)
 		if member.ID == m.id {
-			index = m.log.last()
+			index = m.saving.stored.index
 		} else if p := m.leaderState.progress[member.ID]; p != nil && p.verified && p.sentAt >= since {
 			index = p.matchIndex
 		}
@@ -347,7 +371,7 @@
 	}
 	l := m.leaderState
 	l.reads = slices.DeleteFunc(l.reads, func(r pendingRead) bool {
-		if m.commitIndex < r.index || l.round < r.round || !m.majoritySatisfies(func(p *progress) bool { return p.round >= r.round }) {
+		if m.emittedIndex < r.index || l.round < r.round || !m.majoritySatisfies(func(p *progress) bool { return p.round >= r.round }) {
 			return false
 		}
 		m.emit(ReadReady{ID: r.id, Index: r.index})
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -92,8 +93,10 @@
 		SnapshotEntries: 2000,
 		SnapshotBytes:   512 << 10,
 		KeepEntries:     500,
-		MaxAppendBytes:  512 << 10,
-		MaxPending:      1024,
+		// 64 KiB pass within the driver's timeout of a call, a third of the election timeout, at
+		// 3 Mbit/s. Messages that a link does not transmit in time are lost each time.
+		MaxAppendBytes: 64 << 10,
+		MaxPending:     1024,
 	}
 }
 
@@ -141,6 +144,10 @@
 	// memberships has that of the snapshot (zero without one), then those of the log in order.
 	memberships []indexedMembership
 	commitIndex uint64
+	// emittedIndex is the index up to which committed entries were emitted for the Applier.
+	emittedIndex uint64
+	// restoreDue is set while an installed snapshot was not emitted for the Applier.
+	restoreDue  bool
 	snapshotDue bool
 	// bytesSinceSnapshot is the size of the committed entries after the snapshot.
 	bytesSinceSnapshot int
@@ -148,6 +155,10 @@
 	role              Role
 	leader            storer.Identity
 	lastLeaderContact time.Time
+	// lastLeader is the leader with which this replica had lastLeaderContact.
+	lastLeader storer.Identity
+	// contactSince is when the contact with a leader began after a time without one.
+	contactSince time.Time
 	// caughtUpIndex is the index up to which this replica must have applied entries to have the
 	// state of the leader at the beginning of the contact with it; 0 while that is unknown.
 	caughtUpIndex uint64
@@ -157,7 +168,10 @@
 	// electionDeferrals counts how often this replica deferred its own election since its last
 	// contact with a leader.
 	electionDeferrals int
+	// failedCandidacies counts its candidacies since then that ended without a leader.
+	failedCandidacies int
 
+	saving       saving
 	verification verification
 	joinPolicy   SetJoinPolicy
 	joinState    joinState
@@ -182,9 +196,10 @@
 		memberships: []indexedMembership{{}}, role: RoleFollower,
 		addresses: make(map[storer.Identity]netip.AddrPort), joinState: joinState{unbootstrapped: make(map[string]bool)},
 	}
+	m.saving.stored = storedState{term: m.term, index: log.last()}
 	if s := state.Snapshot; s != nil {
 		m.memberships[0] = indexedMembership{index: s.MembershipIndex, membership: s.Membership}
-		m.commitIndex = s.Index
+		m.commitIndex, m.emittedIndex = s.Index, s.Index
 		m.emit(Restore{Snapshot: s})
 	}
 	for _, e := range log.entries[1:] {
@@ -207,6 +222,7 @@
 		m.handle(input)
 	}
 	m.broadcastIfDue()
+	m.recordSaves()
 	out := m.out
 	m.out = nil
 	return out
@@ -239,6 +255,9 @@
 	case SnapshotTaken:
 		m.advanceClock(in.Now)
 		m.compact(in)
+	case Saved:
+		m.advanceClock(in.Now)
+		m.handleSaved(in)
 	}
 }
 
@@ -257,6 +276,10 @@
 		m.tickLeading()
 		return
 	}
+	// A replica whose vote is being stored is a candidate already, and one with a slow disk is a bad leader.
+	if m.isSaving() {
+		return
+	}
 	if !m.now.Before(m.electionAt) || m.isOnlyVoter() {
 		m.startElection(true, false)
 	}
@@ -309,18 +332,26 @@
 
 // send sends a message to a replica. A replica that is not a member, such as a candidate that
 // this replica does not know yet, gets it at the address from its own messages.
-func (m *Machine) send(to storer.Identity, message Message) {
-	member, ok := m.membership().Get(to)
-	if !ok {
-		member = storer.Member{ID: to, Address: m.addresses[to]}
+func (m *Machine) send(to storer.Identity, message Message) { m.sendTo(m.recipient(to), message) }
+
+func (m *Machine) recipient(id storer.Identity) storer.Member {
+	if member, ok := m.membership().Get(id); ok {
+		return member
 	}
-	m.sendTo(member, message)
+	return storer.Member{ID: id, Address: m.addresses[id]}
 }
 
 func (m *Machine) sendTo(to storer.Member, message Message) {
-	m.emit(Send{To: to, Envelope: Envelope{
-		Cluster: m.membership().Cluster, From: m.id, Address: m.settings.Address, To: to.ID, Message: message,
-	}})
+	m.emit(Send{To: to, Envelope: m.envelope(to, message)})
+}
+
+// sendEarly sends a message that promises nothing that is not durable yet.
+func (m *Machine) sendEarly(to storer.Member, message Message) {
+	m.emit(Send{To: to, Envelope: m.envelope(to, message), MayPrecedeSaves: true})
+}
+
+func (m *Machine) envelope(to storer.Member, message Message) Envelope {
+	return Envelope{Cluster: m.membership().Cluster, From: m.id, Address: m.settings.Address, To: to.ID, Message: message}
 }
 
 // membership returns the newest membership in the log, whether committed or not.
@@ -356,6 +387,7 @@
 		return at.index > 0 && at.index >= entries[0].Index
 	})
 	m.log.truncateAndAppend(entries)
+	m.saving.limitIndex(entries[0].Index - 1)
 	for _, e := range entries {
 		if err := m.recordMembership(e); err != nil {
 			panic(err) // isValid has checked received entries
@@ -364,18 +396,34 @@
 	m.emit(SaveEntries{Entries: entries})
 }
 
-// commitTo raises the commit index and emits the newly committed entries.
+// commitTo raises the commit index.
 func (m *Machine) commitTo(index uint64) {
 	if index <= m.commitIndex {
 		return
 	}
-	entries := m.log.entries[m.commitIndex+1-m.log.base() : index+1-m.log.base()]
-	m.emit(Apply{Entries: slices.Clone(entries)})
+	m.bytesSinceSnapshot += sizeOf(m.log.slice(m.commitIndex+1, index, math.MaxInt))
 	m.commitIndex = index
-	m.bytesSinceSnapshot += sizeOf(entries)
+	m.emitCommitted()
+}
+
+// emitCommitted emits an installed snapshot and the committed entries once they are durable.
+func (m *Machine) emitCommitted() {
+	if m.restoreDue && m.saving.stored.index >= m.snapshot.Index {
+		m.emit(Restore{Snapshot: m.snapshot})
+		m.emittedIndex, m.restoreDue = m.snapshot.Index, false
+	}
+	if m.restoreDue {
+		return
+	}
+	index := min(m.commitIndex, m.saving.stored.index)
+	if index <= m.emittedIndex {
+		return
+	}
+	m.emit(Apply{Entries: slices.Clone(m.log.slice(m.emittedIndex+1, index, math.MaxInt))})
+	m.emittedIndex = index
 	if !m.snapshotDue && m.needsSnapshot() {
 		m.snapshotDue = true
-		m.emit(TakeSnapshot{Index: m.commitIndex})
+		m.emit(TakeSnapshot{Index: index})
 	}
 }
 
--- a/control/services/replicator/replaced_voter_test.go
+++ b/control/services/replicator/replaced_voter_test.go
@@ -133,3 +133,22 @@
 		require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
 	})
 }
+
+// Guards against a killed leader whose vote counts although it has been silent for long enough, because
+// its successor counts the silence from its own election on. Until then no other disk may be lost.
+func TestVoteOfKilledLeaderIsReplacedAtElection(t *testing.T) {
+	t.Parallel()
+	forReplicaCounts(t, func(t *testing.T, sim *simulation) {
+		killed, silentAt := sim.leader(), sim.now+sim.settings.ReplaceSilentAfter
+		sim.kill(killed)
+		for end := sim.now + 10*time.Second; sim.leader() == nil && sim.now < end; {
+			sim.run(tickPeriod)
+		}
+		require.NotNil(t, sim.leader(), sim.describe())
+		sim.run(max(0, silentAt-sim.now) + 3*sim.settings.Heartbeat)
+		m := sim.leader().machine
+		require.False(t, m.membership().IsVoter(killed.disk.id), sim.describe())
+		require.Equal(t, 3, m.membership().Voters(), sim.describe())
+		require.LessOrEqual(t, m.membershipIndex(), m.commitIndex, sim.describe())
+	})
+}
--- a/control/services/replicator/snapshotting.go
+++ b/control/services/replicator/snapshotting.go
@@ -44,18 +44,24 @@
 	m.emit(SaveSnapshot{Snapshot: m.snapshot, CompactBefore: before})
 }
 
-// sendSnapshot sends the next chunk of a snapshot. Newer snapshots do not replace it until the
+// sendSnapshot sends the next chunk of a snapshot, or a heartbeat without data if the window is full
+// or the chunk was sent and may still arrive. Newer snapshots do not replace the snapshot until the
 // replica has received it completely.
-func (m *Machine) sendSnapshot(to storer.Member, p *progress) {
+func (m *Machine) sendSnapshot(to storer.Member, p *progress, isFull bool) {
 	if p.sendingSnapshot == nil {
-		p.sendingSnapshot, p.offset = m.snapshot, 0
+		p.sendingSnapshot, p.offset, p.isChunkSent = m.snapshot, 0, false
 		m.counts.SnapshotsSent++
 	}
 	s := p.sendingSnapshot
-	end := min(p.offset+uint64(m.settings.MaxAppendBytes), uint64(len(s.Data)))
+	end := p.offset
+	if isInTransit := p.isChunkSent && p.chunkSentAt >= m.activeSince(); !isFull && !isInTransit {
+		end = min(p.offset+uint64(m.settings.MaxAppendBytes), uint64(len(s.Data)))
+		p.isChunkSent, p.chunkSentAt = true, m.clock()
+	}
+	p.window.add(m.clock(), int(end-p.offset), isFull)
 	header := *s
 	header.Data = nil
-	m.sendTo(to, &SnapshotRequest{
+	m.sendEarly(to, &SnapshotRequest{
 		Term: m.term, Round: m.leaderState.round, SentAt: m.clock(), Header: header,
 		Offset: p.offset, Total: uint64(len(s.Data)), Data: s.Data[p.offset:end],
 	})
@@ -67,7 +73,13 @@
 		resp.Offset, resp.Done = m.acceptSnapshot(from, req)
 	}
 	resp.Term = m.term
-	m.send(from, resp)
+	switch {
+	case m.isSaveOverdue():
+	case m.isTermStored() && !resp.Done:
+		m.sendEarly(m.recipient(from), resp)
+	default:
+		m.send(from, resp)
+	}
 }
 
 // acceptSnapshot adds a chunk to the incoming snapshot and installs it once it is complete. It
@@ -101,11 +113,11 @@
 	m.incoming = incomingSnapshot{}
 	m.snapshot, m.snapshotDue, m.bytesSinceSnapshot = snapshot, false, 0
 	m.log.reset(snapshot.Index, snapshot.Term)
+	m.saving.limitIndex(0)
 	m.memberships = []indexedMembership{{index: snapshot.MembershipIndex, membership: snapshot.Membership}}
-	m.commitIndex = snapshot.Index
+	m.commitIndex, m.restoreDue = snapshot.Index, true
 	m.counts.SnapshotsInstalled++
 	m.emit(SaveSnapshot{Snapshot: snapshot, Reset: true})
-	m.emit(Restore{Snapshot: snapshot})
 }
 
 func (m *Machine) handleSnapshotResponse(from storer.Identity, resp *SnapshotResponse) {
@@ -113,7 +125,10 @@
 	if p == nil || p.sendingSnapshot == nil || resp.Index != p.sendingSnapshot.Index {
 		return
 	}
+	p.window.forget(resp.Echo.SentAt)
 	progressed := resp.Offset > p.offset
+	// A replica that answers a later request without the chunk has not received it.
+	p.isChunkSent = p.isChunkSent && !progressed && resp.Echo.SentAt <= p.chunkSentAt
 	p.offset = min(resp.Offset, uint64(len(p.sendingSnapshot.Data)))
 	if resp.Done {
 		p.sendingSnapshot, progressed = nil, true
@@ -122,7 +137,7 @@
 		m.advanceCommit()
 	}
 	m.confirmReads()
-	if member, ok := m.membership().Get(from); ok && progressed && m.role == RoleLeader {
+	if member, ok := m.membership().Get(from); ok && (progressed || p.isBroadcastDue) && m.role == RoleLeader {
 		m.sendAppend(member, p)
 	}
 }
