--- a/shared/modules/transporter/server.go
+++ b/shared/modules/transporter/server.go
@@ -22,6 +22,8 @@
 // Service is a gRPC service with unary methods.
 type Service struct {
 	desc grpc.ServiceDesc
+	// unreadable is nil if requests that cannot be decoded are not observed.
+	unreadable func(method string, err error)
 }
 
 // NewService returns a service without methods. The name is the full name, such as
@@ -30,6 +32,10 @@
 	return &Service{desc: grpc.ServiceDesc{ServiceName: name, HandlerType: (*any)(nil)}}
 }
 
+// ObserveUnreadable makes the service call observe for each request that cannot be decoded. The call
+// fails in any case. It must be called before the service is served.
+func (s *Service) ObserveUnreadable(observe func(method string, err error)) { s.unreadable = observe }
+
 // Handle adds a unary method to the service. The handler's errors should have a gRPC
 // status.
 func Handle[Req, Resp any](s *Service, method string, handler func(context.Context, *Req) (*Resp, error)) {
@@ -39,6 +45,9 @@
 		Handler: func(_ any, ctx context.Context, decode func(any) error, interceptor grpc.UnaryServerInterceptor) (any, error) {
 			req := new(Req)
 			if err := decode(req); err != nil {
+				if s.unreadable != nil {
+					s.unreadable(method, err)
+				}
 				return nil, err
 			}
 			if interceptor == nil {
