Go back to a live backend server after another writer

Change: records are ordered by a term first, which entries raise when they go back to an earlier sender; late copies of opening packets are dropped.

--- a/entry/services/gossiper/record.go
+++ b/entry/services/gossiper/record.go
@@ -94,13 +94,17 @@
 }
 
 func recordValue(key uint64, r announcer.Record) uint64 {
-	buf := make([]byte, 0, 40)
+	buf := make([]byte, 0, 48)
 	for _, field := range []uint64{key, r.Incarnation, r.Sequence, r.Epoch} {
 		buf = binary.LittleEndian.AppendUint64(buf, field)
 	}
-	if r.Claim > 0 { // Entries of an earlier version know no claims.
+	// Entries of earlier versions know no claims, or no terms.
+	if r.Claim > 0 || r.Term > 0 {
 		buf = binary.LittleEndian.AppendUint64(buf, r.Claim)
 	}
+	if r.Term > 0 {
+		buf = binary.LittleEndian.AppendUint64(buf, r.Term)
+	}
 	return xxhash.Sum64(buf) ^ hasher.String(r.Holder)
 }
 
--- a/entry/services/leaser/lease.go
+++ b/entry/services/leaser/lease.go
@@ -12,6 +12,7 @@
 // lease is the state that the holder of a record keeps for it.
 type lease struct {
 	expiresAt   time.Time
+	term        uint64
 	incarnation uint64
 	sequence    uint64
 	// renewed is set once this holder has received a renewal from the backend
@@ -33,11 +34,11 @@
 		delete(m.leases, record.ID)
 		return
 	}
-	if held == nil || held.incarnation != record.Incarnation {
+	if held == nil || held.term != record.Term || held.incarnation != record.Incarnation {
 		// A new holder does not know when the last renewal arrived, so it starts
 		// a full lease.
 		m.leases[record.ID] = &lease{
-			expiresAt: m.now.Add(m.settings.Lease), incarnation: record.Incarnation, sequence: record.Sequence,
+			expiresAt: m.now.Add(m.settings.Lease), term: record.Term, incarnation: record.Incarnation, sequence: record.Sequence,
 			rampStep: record.RampStep, acceptsNewFlows: record.AcceptsNewFlows(), nextStepAt: m.now.Add(rampPeriod),
 		}
 		return
@@ -104,6 +105,9 @@
 		for _, held := range m.leases {
 			held.expiresAt = m.now.Add(m.settings.Lease)
 		}
+		for id := range m.announcedAt {
+			m.announcedAt[id] = m.now
+		}
 	}
 	m.lastTick = m.now
 	ids := make([]announcer.ID, 0, len(m.leases))
@@ -128,6 +132,10 @@
 			held.renewed = false
 			m.changeRecord(m.withOwnHolder(record.WithLapsed(true)))
 		}
+		if !m.now.Before(held.expiresAt.Add(maxAnnouncementDelay - m.settings.Lease)) {
+			// The last renewal came from another writer if the backend server announces itself now.
+			held.sequence = record.Sequence
+		}
 	case m.needsRampRestart(held):
 		m.restartRamp(record, held)
 	case !m.now.Before(held.nextStepAt):
--- a/entry/services/leaser/leaser.go
+++ b/entry/services/leaser/leaser.go
@@ -40,6 +40,11 @@
 	rampRestartFailures = 3
 	// pauseThreshold is the gap between ticks that counts as a pause of the process.
 	pauseThreshold = time.Second
+	// maxAnnouncementDelay is the time after which an announcement is taken to have been sent later than
+	// another one was received. A backend server waits 1 s for an answer, but the network or the socket of an
+	// entry may hold an announcement for longer. A backend server that another writer has displaced gets no
+	// new flows until then, and must have them again within a minute.
+	maxAnnouncementDelay = 30 * time.Second
 )
 
 // Settings configure a Machine.
@@ -50,12 +55,13 @@
 }
 
 // Counts are the counters of a Machine. Metric names are derived from the field names.
-// ColdRestarts counts the ramps that were restarted after failures.
+// ColdRestarts counts the ramps that were restarted after failures, Reinstated the records
+// whose earlier announcement was believed again.
 type Counts struct {
 	Applied, Renewed, Forwarded, Stale          uint64
 	Lapses, Restores, RampSteps, ColdRestarts   uint64
 	Adoptions, RenewalsMisdirected, Unreachable uint64
-	AddressConflicts, Retried                   uint64
+	AddressConflicts, Retried, Reinstated       uint64
 }
 
 // Machine holds the leases of one entry. It is not safe for concurrent use.
@@ -70,6 +76,9 @@
 	// absentSince is the time at which a former member left the live members.
 	absentSince map[string]time.Time
 	records     map[announcer.ID]announcer.Record
+	// announcedAt is when this entry learned of the announcement in a record. After a pause of the process
+	// it starts again, since announcements may have waited in its sockets.
+	announcedAt map[announcer.ID]time.Time
 	addresses   addressIndex
 	leases      map[announcer.ID]*lease
 	// unreachable holds the records that are published as lapsed because no
@@ -92,7 +101,8 @@
 		settings: settings, now: now, lastTick: now,
 		members: make(map[string]messenger.Member), namesByDataCentre: make(map[string][]string),
 		absentSince: make(map[string]time.Time), records: make(map[announcer.ID]announcer.Record),
-		addresses: make(addressIndex), displaced: make(map[announcer.ID]bool),
+		announcedAt: make(map[announcer.ID]time.Time),
+		addresses:   make(addressIndex), displaced: make(map[announcer.ID]bool),
 		leases: make(map[announcer.ID]*lease), unreachable: make(map[announcer.ID]bool), pendingBatches: make(map[string]*batch),
 		sentRenewals: make(map[announcer.ID]sentRenewal),
 	}
@@ -180,7 +190,8 @@
 // applyAnnouncement applies an announcement that changes the record, or renews the lease.
 func (m *Machine) applyAnnouncement(a announcer.Announcement) {
 	known, ok := m.records[a.ID]
-	if ok && m.isStale(a, known) {
+	outlives := ok && m.outlives(a, known)
+	if ok && !outlives && m.isStale(a, known) {
 		m.counts.Stale++
 		m.emit(Answered{Stale: true})
 		return
@@ -192,8 +203,11 @@
 		return
 	}
 	switch {
+	case outlives:
+		m.counts.Reinstated++
+		m.applyNew(a, claim, known.Term+1)
 	case a.Incarnation > known.Incarnation: // Also if the backend server is unknown.
-		m.applyNew(a, claim)
+		m.applyNew(a, claim, known.Term)
 	case known.Lapsed && a.Sequence > known.Sequence:
 		m.counts.Restores++
 		m.applyChange(a, known, 0, claim)
@@ -221,15 +235,24 @@
 	}
 }
 
+// outlives reports whether an announcement that comes before the known one shows that its sender goes on, and
+// that the known one is of another writer: the lease of the known one has expired, and a backend server sends
+// its own in order, so none from before the known one is still under way after maxAnnouncementDelay.
+func (m *Machine) outlives(a announcer.Announcement, known announcer.Record) bool {
+	isEarlier := cmp.Or(cmp.Compare(a.Incarnation, known.Incarnation), cmp.Compare(a.Sequence, known.Sequence)) < 0
+	hasPaused := m.now.Sub(m.lastTick) > pauseThreshold
+	return isEarlier && known.Lapsed && !hasPaused && m.now.Sub(m.announcedAt[a.ID]) >= maxAnnouncementDelay
+}
+
 // differs reports whether two announcements differ in more than their sequence.
 func differs(a, b announcer.Announcement) bool {
 	a.Sequence, b.Sequence = 0, 0
 	return a != b
 }
 
-func (m *Machine) applyNew(a announcer.Announcement, claim uint64) {
+func (m *Machine) applyNew(a announcer.Announcement, claim, term uint64) {
 	m.counts.Applied++
-	m.changeRecord(announcer.Record{Announcement: a, Holder: m.holderOf(a.Host, a.DataCentre), Epoch: 1, Claim: claim})
+	m.changeRecord(announcer.Record{Announcement: a, Holder: m.holderOf(a.Host, a.DataCentre), Epoch: 1, Claim: claim, Term: term})
 }
 
 func (m *Machine) applyChange(a announcer.Announcement, known announcer.Record, ramp uint8, claim uint64) {
@@ -265,6 +288,9 @@
 	if ok && record.Compare(known) < 0 {
 		return
 	}
+	if !ok || record.Term != known.Term || record.Incarnation != known.Incarnation || record.Sequence != known.Sequence {
+		m.announcedAt[record.ID] = m.now
+	}
 	m.records[record.ID] = record
 	m.addresses.remove(known)
 	m.addresses.add(record)
@@ -282,6 +308,7 @@
 	removed := m.records[id]
 	m.addresses.remove(removed)
 	delete(m.records, id)
+	delete(m.announcedAt, id)
 	delete(m.leases, id)
 	delete(m.unreachable, id)
 	delete(m.displaced, id)
--- a/entry/services/placer/decide.go
+++ b/entry/services/placer/decide.go
@@ -40,7 +40,7 @@
 	if m.mode == modeStarting && packet.RelayedBy == 0 {
 		// The cache is not used either, because it may be stale after a freeze of the process.
 		if to := m.ownerExcept(svc, packet.Flow, self); to != noEntry {
-			return relay(to)
+			return relayInTime(packet, to)
 		}
 		return drop(ReasonNoView)
 	}
@@ -52,6 +52,15 @@
 	return m.decideMiss(svc, packet)
 }
 
+// relayInTime relays a packet to another entry. A late opening packet is dropped: the other entry may have
+// placed its flow for a copy, and seen it end.
+func relayInTime(packet Packet, to uint16) Decision {
+	if packet.isLateSYN() {
+		return drop(ReasonLateOpening)
+	}
+	return relay(to)
+}
+
 func (m *Machine) decideUnknownService(packet Packet) Decision {
 	if m.mode == modeStarting && packet.RelayedBy == 0 {
 		return drop(ReasonNoView)
@@ -66,7 +75,7 @@
 	if !b.isPresent || b.service != svc.index {
 		return Decision{}, false
 	}
-	if packet.isSYN() && m.isReopened(svc, cached, b) {
+	if packet.isSYN() && m.isReopened(svc, cached, b) && !isCopy(cached, packet) {
 		return m.reopen(svc, packet)
 	}
 	if b.isTakenOut {
@@ -91,8 +100,17 @@
 	return cached.Has(tracker.FlagClosed) || b.isTakenOut || (isSettled && !cached.Has(tracker.FlagOnlySYN))
 }
 
-// reopen places a flow again and notifies all peers, which may have cached the old target.
+// isCopy reports whether an opening packet is a copy of the newest one of a cached flow.
+func isCopy(cached *tracker.Flow, packet Packet) bool {
+	return packet.Sequence != 0 && cached.Opening == packet.Sequence
+}
+
+// reopen places a flow again and notifies all peers, which may have cached the old target. A late opening
+// packet is dropped, since it may belong to the old flow.
 func (m *Machine) reopen(svc *service, packet Packet) (Decision, bool) {
+	if packet.isLateSYN() {
+		return drop(ReasonLateOpening), true
+	}
 	bucket := allocator.Bucket(packet.Flow)
 	delete(svc.exceptions, exceptionKey(packet.Flow))
 	target := m.target(svc, bucket)
@@ -119,7 +137,10 @@
 	cached.Flags &^= tracker.FlagCopied
 	switch {
 	case packet.isSYN():
-		cached.Flags &^= tracker.FlagClosed
+		if !isCopy(cached, packet) {
+			cached.Flags &^= tracker.FlagClosed
+		}
+		cached.Opening = packet.Sequence
 	case packet.isClosing():
 		cached.Flags |= tracker.FlagClosed
 		cached.Flags &^= tracker.FlagOnlySYN
@@ -138,6 +159,7 @@
 		cached.Flags = tracker.FlagUDP
 	case packet.isSYN():
 		cached.Flags = tracker.FlagOnlySYN
+		cached.Opening = packet.Sequence
 	case packet.isClosing():
 		cached.Flags = tracker.FlagClosed
 	}
@@ -167,7 +189,7 @@
 	}
 	if packet.RelayedBy == 0 {
 		if owner := m.owner(svc, packet.Flow); owner != self && owner != noEntry {
-			return relay(owner)
+			return relayInTime(packet, owner)
 		}
 	}
 	return m.decideAsOwner(svc, packet, b)
--- a/entry/services/placer/failure_test.go
+++ b/entry/services/placer/failure_test.go
@@ -92,8 +92,9 @@
 }
 
 // plannedRegressions are seeds that once broke a flow. 45: a round ended early after only some
-// entries had received an exception, which was then treated as known to all.
-var plannedRegressions = []uint64{45}
+// entries had received an exception, which was then treated as known to all. 5: an entry relayed a copy of an
+// opening packet after the flow had ended, and the owner placed it again.
+var plannedRegressions = []uint64{45, 5}
 
 // Guards against entries that disagree about a flow while the view changes, and against packets to
 // a backend server of another service.
--- a/entry/services/placer/packet.go
+++ b/entry/services/placer/packet.go
@@ -4,7 +4,10 @@
 // is a deterministic state machine; see docs/placement.md.
 package placer
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Protocol is the transport protocol of a packet.
 type Protocol uint8
@@ -37,8 +40,19 @@
 	Protocol Protocol
 	// Flags has FlagSYN only if the ACK flag is not set.
 	Flags Flags
+	// Sequence is the TCP sequence number, or 0 if unknown. Copies of an opening packet have the same one,
+	// and a flow that uses a port again has another (RFC 9293, section 3.4.1).
+	Sequence uint32
+	// Waited is how long the packet waited in this entry before its placement, or 0 if unknown.
+	Waited time.Duration
 }
 
+// maxOpeningWait is the wait from which on an opening packet is late: callers send a copy after 200 ms, which
+// another entry may have forwarded since.
+const maxOpeningWait = 200 * time.Millisecond
+
+func (p Packet) isLateSYN() bool { return p.isSYN() && p.Waited >= maxOpeningWait }
+
 func (p Packet) isSYN() bool { return p.Protocol == ProtocolTCP && p.Flags&FlagSYN != 0 }
 
 func (p Packet) isClosing() bool {
@@ -83,13 +97,16 @@
 	ReasonHoldFull
 	// ReasonUnanswered means that a peer which may know the flow has not answered a query.
 	ReasonUnanswered
+	// ReasonLateOpening means that an opening packet which waited too long would have been relayed, or
+	// taken for a new flow on a port used again.
+	ReasonLateOpening
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 // String returns the name of the reason, as used for counters.
 func (r Reason) String() string {
-	names := [ReasonCount]string{"none", "service_not_exist", "no_view", "no_backend", "taken_out", "hold_full", "unanswered"}
+	names := [ReasonCount]string{"none", "service_not_exist", "no_view", "no_backend", "taken_out", "hold_full", "unanswered", "late_opening"}
 	if r >= ReasonCount {
 		return fmt.Sprintf("reason_%d", uint8(r))
 	}
--- a/entry/services/placer/resolver.go
+++ b/entry/services/placer/resolver.go
@@ -81,6 +81,10 @@
 	if next == noEntry && (scope == queryOwner || !m.hasFormerOwner(svc)) {
 		return m.placeUnknown(svc, packet)
 	}
+	if scope == queryOwner && packet.isLateSYN() {
+		// The owner cannot tell this query from one about a new flow.
+		return drop(ReasonLateOpening)
+	}
 	r := &m.resolver
 	if r.held >= r.limit {
 		return drop(ReasonHoldFull)
--- a/entry/services/placer/simulation_test.go
+++ b/entry/services/placer/simulation_test.go
@@ -75,6 +75,8 @@
 	flow      *flow
 	flags     Flags
 	relayedBy uint64
+	// arrivedAt is when the packet arrived at the entry, which may be frozen.
+	arrivedAt time.Time
 }
 
 type event struct {
--- a/entry/services/placer/traffic_test.go
+++ b/entry/services/placer/traffic_test.go
@@ -53,13 +53,15 @@
 		e = n.nodes[n.rng.IntN(len(n.nodes))]
 	}
 	n.placeBaselines(e, f)
-	n.runOn(e, func() { n.receivePacket(e, sentPacket{flow: f, flags: flags}) })
+	arrivedAt := n.now
+	n.runOn(e, func() { n.receivePacket(e, sentPacket{flow: f, flags: flags, arrivedAt: arrivedAt}) })
 }
 
 func (n *network) receivePacket(e *node, s sentPacket) {
 	index, _ := e.machine.ServiceIndex(services[s.flow.service])
 	n.applyDecision(e, s, e.machine.Decide(n.now, Packet{
 		Flow: s.flow.hash, RelayedBy: s.relayedBy, Service: index, Protocol: s.flow.protocol, Flags: s.flags,
+		Sequence: uint32(s.flow.hash), Waited: n.now.Sub(s.arrivedAt),
 	}))
 }
 
@@ -78,6 +80,7 @@
 			if !to.isUp {
 				n.lost++
 			}
+			s.arrivedAt = n.now
 			n.runOn(to, func() { n.receivePacket(to, s) })
 		})
 	case ActionHold:
--- a/shared/models/announcer/record.go
+++ b/shared/models/announcer/record.go
@@ -18,14 +18,18 @@
 	RampStep uint8 `cbor:"ramp_step"`
 	// Claim counts the backend servers that have had the address. It tells which one came last.
 	Claim uint64 `cbor:"claim,omitempty"`
+	// Term counts how often the entries have gone back to an earlier announcement, because its sender went on
+	// while that of the later one fell silent. Backend servers do not announce it.
+	Term uint64 `cbor:"term,omitempty"`
 }
 
 // RampSteps is the slow-start step at which a backend server has its full weight.
 const RampSteps = 3
 
-// Compare orders records by incarnation, sequence, epoch, holder and claim.
+// Compare orders records by term, incarnation, sequence, epoch, holder and claim.
 func (r Record) Compare(other Record) int {
 	return cmp.Or(
+		cmp.Compare(r.Term, other.Term),
 		cmp.Compare(r.Incarnation, other.Incarnation),
 		cmp.Compare(r.Sequence, other.Sequence),
 		cmp.Compare(r.Epoch, other.Epoch),
