--- a/entry/cmd/entry/services.go
+++ b/entry/cmd/entry/services.go
@@ -60,8 +60,8 @@
 func loadTLS(s settings) (*tls.Config, error) { return s.Load() }
 
 // startPackets binds the packet socket. startProcessor starts it.
-func startPackets(lc fx.Lifecycle, s settings, registry *registrar.Registry, counters *reporter.Counters) error {
-	socket, err := transceiver.Listen(s.PacketAddress, counters)
+func startPackets(lc fx.Lifecycle, s settings, registry *registrar.Registry, logger *slog.Logger, counters *reporter.Counters) error {
+	socket, err := transceiver.Listen(s.PacketAddress, logger, counters)
 	if err != nil {
 		return err
 	}
--- a/entry/models/messenger/membership.go
+++ b/entry/models/messenger/membership.go
@@ -274,6 +274,13 @@
 	Claim uint64
 }
 
+// wireTermRecord has a term in addition. Records without one are encoded as before.
+type wireTermRecord struct {
+	_ struct{} `cbor:",toarray"`
+	wireRecord
+	Claim, Term uint64
+}
+
 func toWire(a announcer.Announcement) wireAnnouncement {
 	wire := wireAnnouncement{
 		Service: a.Service, Host: a.Host, Address: a.Address, DataCentre: a.DataCentre, Slots: a.Slots,
@@ -303,21 +310,37 @@
 		Announcement: toWire(r.Announcement), Holder: r.Holder, Epoch: r.Epoch, Lapsed: r.Lapsed, RampStep: r.RampStep,
 		AgeSeconds: uint32(r.Age / time.Second),
 	}
-	if r.Claim == 0 {
+	switch {
+	case r.Term != 0:
+		return cbor.Marshal(wireTermRecord{wireRecord: wire, Claim: r.Claim, Term: r.Term})
+	case r.Claim != 0:
+		return cbor.Marshal(wireClaimedRecord{wireRecord: wire, Claim: r.Claim})
+	default:
 		return cbor.Marshal(wire)
 	}
-	return cbor.Marshal(wireClaimedRecord{wireRecord: wire, Claim: r.Claim})
+}
+
+// decodeWireRecord decodes any of the encodings of a record.
+func decodeWireRecord(data []byte) (wireTermRecord, error) {
+	var wire wireTermRecord
+	if cbor.Unmarshal(data, &wire) == nil {
+		return wire, nil
+	}
+	var claimed wireClaimedRecord
+	if cbor.Unmarshal(data, &claimed) == nil {
+		return wireTermRecord{wireRecord: claimed.wireRecord, Claim: claimed.Claim}, nil
+	}
+	var plain wireRecord
+	err := cbor.Unmarshal(data, &plain)
+	return wireTermRecord{wireRecord: plain}, err
 }
 
 // UnmarshalCBOR decodes the record. It returns an error if the state number is
 // unknown.
 func (r *Record) UnmarshalCBOR(data []byte) error {
-	var wire wireClaimedRecord
-	if cbor.Unmarshal(data, &wire) != nil {
-		wire = wireClaimedRecord{}
-		if err := cbor.Unmarshal(data, &wire.wireRecord); err != nil {
-			return fmt.Errorf("decode record: %w", err)
-		}
+	wire, err := decodeWireRecord(data)
+	if err != nil {
+		return fmt.Errorf("decode record: %w", err)
 	}
 	announcement, err := fromWire(wire.Announcement)
 	if err != nil {
@@ -326,7 +349,7 @@
 	*r = Record{
 		Record: announcer.Record{
 			Announcement: announcement, Holder: wire.Holder, Epoch: wire.Epoch, Lapsed: wire.Lapsed, RampStep: wire.RampStep,
-			Claim: wire.Claim,
+			Claim: wire.Claim, Term: wire.Term,
 		},
 		Age: time.Duration(wire.AgeSeconds) * time.Second,
 	}
--- a/entry/models/messenger/messenger_test.go
+++ b/entry/models/messenger/messenger_test.go
@@ -30,7 +30,9 @@
 	}
 	claimed := record
 	claimed.Claim = 2
-	members, records := []messenger.Member{member}, []messenger.Record{record, claimed}
+	reinstated := record
+	reinstated.Term = 3
+	members, records := []messenger.Member{member}, []messenger.Record{record, claimed, reinstated}
 	digests := []messenger.ItemDigest{{Key: 1, Value: 2}}
 	return messenger.Envelope{From: "entry-1", Incarnation: 9, Messages: []messenger.Message{
 		messenger.Probe{Sequence: 1, Address: addr},
--- a/entry/models/tracker/cache.go
+++ b/entry/models/tracker/cache.go
@@ -28,6 +28,8 @@
 	Target uint32
 	// LastSeen is the time of the last packet.
 	LastSeen uint32
+	// Opening is the sequence number of the newest opening packet, or 0 if unknown.
+	Opening uint32
 	// Packets counts the packets of the caller and saturates at 65,535.
 	Packets uint16
 	Flags   uint8
--- a/entry/routers/dispatcher/dispatcher.go
+++ b/entry/routers/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
+	"github.com/redwingledge/redwingledge/shared/modules/timestamper"
 )
 
 const (
@@ -27,6 +28,8 @@
 	maxDatagram = 2048
 	// maxPrefix is the maximum size in bytes of the header that a codec prepends to a packet.
 	maxPrefix = 64
+	// datagramOverhead is the size in bytes of the IPv4 and UDP headers of a datagram.
+	datagramOverhead = 28
 	// socketBuffer is the requested size in bytes of the kernel's receive buffer.
 	socketBuffer = 1 << 20
 	// sweepPeriod is the interval between sweeps for idle flows.
@@ -61,13 +64,18 @@
 	recorder *recorder
 
 	received, forwarded, resets, malformed, panicked, sendErrors *expvar.Int
-	refused, placed                                              *expvar.Map
+	// lateOpenings counts first opening packets that were dropped instead of reset because they waited in the
+	// socket.
+	lateOpenings    *expvar.Int
+	refused, placed *expvar.Map
 	// resetOpening, resetCopies and resetOpen count resets by reason: those that answer the first
 	// opening packet of a flow, a copy of one, and a packet of an open flow.
 	resetOpening, resetCopies, resetOpen *expvar.Map
 	// moved counts packets of flows that were established at another backend server, and kept those
 	// whose token names another one than the backend server that holds their flow.
 	moved, kept *expvar.Int
+	// secondOpenings is nil if second openings are switched off.
+	secondOpenings *secondOpenings
 }
 
 // Listen binds the address for the packets of callers.
@@ -79,15 +87,19 @@
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		logger.Warn("receive buffer keeps its default size", "error", err)
 	}
+	if err := timestamper.Enable(conn); err != nil {
+		logger.Warn("packets have no time of arrival; late opening packets may be reset", log.FieldError, err)
+	}
 	return &Dispatcher{
 		conn: conn, codec: codec, balancer: b, clock: clock, logger: logger, recorder: newRecorder(logger),
 		received: counters.Int("packets_received"), forwarded: counters.Int("packets_forwarded"),
 		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
-		panicked:   counters.Int("packets_panicked"),
+		panicked: counters.Int("packets_panicked"), lateOpenings: counters.Int("opening_packets_late"),
 		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
 		placed:       counters.Map("flows_placed"),
 		resetOpening: counters.Map("packets_reset_opening"), resetCopies: counters.Map("packets_reset_copy"),
 		resetOpen: counters.Map("packets_reset_open"), moved: counters.Int("flows_moved"), kept: counters.Int("flows_kept"),
+		secondOpenings: newSecondOpenings(b, counters),
 	}, nil
 }
 
@@ -98,15 +110,18 @@
 func (d *Dispatcher) Run(ctx context.Context) {
 	d.running.Add(1)
 	go d.sweep(ctx)
+	if d.secondOpenings != nil {
+		d.running.Go(func() { d.sendSecondOpenings(ctx) })
+	}
 	stop := context.AfterFunc(ctx, func() {
 		if err := d.conn.Close(); err != nil {
 			d.logger.Warn("packet socket was not closed", "error", err)
 		}
 	})
 	defer stop()
-	in, out := make([]byte, maxDatagram), make([]byte, maxDatagram+maxPrefix)
+	in, ancillary, out := make([]byte, maxDatagram), make([]byte, timestamper.AncillarySize()), make([]byte, maxDatagram+maxPrefix)
 	for {
-		n, _, err := d.conn.ReadFromUDPAddrPort(in)
+		n, ancillarySize, _, _, err := d.conn.ReadMsgUDPAddrPort(in, ancillary)
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
@@ -115,7 +130,7 @@
 			continue
 		}
 		d.received.Add(1)
-		d.processRecovering(in[:n], out)
+		d.processRecovering(in[:n], ancillary[:ancillarySize], out)
 	}
 	d.running.Wait()
 }
@@ -136,27 +151,34 @@
 
 // processRecovering processes a packet and recovers from a panic, so that a faulty packet
 // is dropped without ending the process.
-func (d *Dispatcher) processRecovering(datagram, out []byte) {
+func (d *Dispatcher) processRecovering(datagram, ancillary, out []byte) {
 	defer func() {
 		if value := recover(); value != nil {
 			d.panicked.Add(1)
 			d.logger.Error("packet dropped; the entry goes on", log.FieldError, fmt.Sprintf("panic: %v", value), "packet", hex.EncodeToString(datagram), "stack", string(debug.Stack()))
 		}
 	}()
-	d.process(datagram, out)
+	d.process(datagram, ancillary, out)
 }
 
-func (d *Dispatcher) process(datagram, out []byte) {
+func (d *Dispatcher) process(datagram, ancillary, out []byte) {
 	packet, err := d.codec.Decode(datagram)
 	if err != nil {
 		d.malformed.Add(1)
 		return
 	}
+	packet.Size = len(datagram) + datagramOverhead
 	now := d.clock.Now()
-	verdict := d.balancer.Decide(packet, now)
+	if packet.IsOpening {
+		packet.Waited = timestamper.Waited(ancillary, time.Now())
+	}
+	verdict := d.decide(packet, datagram, now)
 	if verdict.Reason != balancer.ReasonNone {
 		d.refused.Add(verdict.Reason.String(), 1)
 	}
+	if verdict.IsLate {
+		d.lateOpenings.Add(1)
+	}
 	if verdict.Placement.IsNew {
 		d.placed.Add(verdict.Placement.Kind(), 1)
 	}
@@ -166,6 +188,9 @@
 	if verdict.IsKept {
 		d.kept.Add(1)
 	}
+	if verdict.Overtaken != 0 {
+		d.secondOpenings.won.Add(1)
+	}
 	d.recorder.record(packet, verdict, now)
 	switch verdict.Action {
 	case balancer.ActionForward:
--- a/entry/routers/dispatcher/recorder.go
+++ b/entry/routers/dispatcher/recorder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/services/balancer"
+	"github.com/redwingledge/redwingledge/entry/services/hedger"
 	"github.com/redwingledge/redwingledge/shared/models/director"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 )
@@ -22,6 +23,9 @@
 	// moveLinesPerSecond limits the log lines about flows whose packets carry the token of
 	// another backend server than the one at which they were established.
 	moveLinesPerSecond = 10
+	// secondOpeningLinesPerSecond limits the log lines about opening packets whose answers are late, for each
+	// outcome.
+	secondOpeningLinesPerSecond = 2
 )
 
 // recorder logs the decisions about flows, with a rate limit for each kind. Packets of
@@ -32,16 +36,24 @@
 	retries    *log.RateLimiter
 	moves      *log.RateLimiter
 	refusals   map[balancer.Reason]*log.RateLimiter
+	// secondOpenings limits the lines about late openings by the reason for withholding a second one;
+	// secondOpeningsWon those about flows that were opened by one.
+	secondOpenings    map[hedger.Reason]*log.RateLimiter
+	secondOpeningsWon *log.RateLimiter
 }
 
 func newRecorder(logger *slog.Logger) *recorder {
 	r := &recorder{
 		logger: logger, placements: log.NewRateLimiter(placementLinesPerSecond), retries: log.NewRateLimiter(retryLinesPerSecond),
 		moves: log.NewRateLimiter(moveLinesPerSecond), refusals: make(map[balancer.Reason]*log.RateLimiter),
+		secondOpenings: make(map[hedger.Reason]*log.RateLimiter), secondOpeningsWon: log.NewRateLimiter(secondOpeningLinesPerSecond),
 	}
 	for _, reason := range balancer.Reasons() {
 		r.refusals[reason] = log.NewRateLimiter(refusalLinesPerSecond)
 	}
+	for _, reason := range append(hedger.Reasons(), hedger.ReasonNone) {
+		r.secondOpenings[reason] = log.NewRateLimiter(secondOpeningLinesPerSecond)
+	}
 	return r
 }
 
@@ -51,6 +63,8 @@
 		r.recordMove("flow moved", v.MovedFrom, p, v, now)
 	case v.IsKept:
 		r.recordMove("flow kept", p.Token, p, v, now)
+	case v.Overtaken != 0:
+		r.recordSecondOpeningWon(p, v, now)
 	}
 	switch {
 	case v.Reason != balancer.ReasonNone:
@@ -72,7 +86,7 @@
 	r.logger.LogAttrs(context.Background(), slog.LevelInfo, "packet not forwarded",
 		slog.String(log.FieldCaller, p.Source.String()), slog.String(log.FieldRoute, p.Destination.String()),
 		slog.Uint64(log.FieldToken, uint64(p.Token)), slog.String(log.FieldHost, v.Server.Host), slog.String(log.FieldDataCentre, v.Server.DataCentre),
-		slog.Bool("opening", p.IsOpening), slog.Uint64("copy", uint64(copyNumber(p))), slog.Bool("tracked", v.IsTracked),
+		slog.Bool("opening", p.IsOpening), slog.Uint64("copy", uint64(copyNumber(p))), slog.Bool("late", v.IsLate), slog.Bool("tracked", v.IsTracked),
 		slog.String(log.FieldReason, v.Reason.String()), slog.String(log.FieldOutcome, outcome),
 		slog.Uint64(log.FieldIndex, v.View.Index), slog.Uint64(log.FieldVersion, v.View.Version),
 		slog.Duration(log.FieldAge, v.View.Age), slog.Int(log.FieldLeftOut, suppressed))
--- a/entry/routers/processor/processor.go
+++ b/entry/routers/processor/processor.go
@@ -192,7 +192,7 @@
 
 func (p *Processor) handle(now time.Time, next queueItem) {
 	if next.datagram != nil {
-		p.forwarder.HandleDatagram(now, next.datagram.Payload, next.datagram.Remote)
+		p.forwarder.HandleDatagram(now, next.datagram.Payload, next.datagram.Remote, time.Since(next.datagram.ArrivedAt))
 		next.datagram.Release()
 		return
 	}
--- a/entry/routers/transceiver/transceiver.go
+++ b/entry/routers/transceiver/transceiver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,7 +16,9 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/redwingledge/redwingledge/shared/modules/buffer"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/timestamper"
 )
 
 const (
@@ -34,6 +37,9 @@
 type Datagram struct {
 	Payload []byte
 	Remote  netip.AddrPort
+	// ArrivedAt is when the kernel received the datagram, or when it was read if the kernel
+	// does not tell. It is zero for datagrams to be sent.
+	ArrivedAt time.Time
 
 	storage []byte
 	pool    *sync.Pool
@@ -59,7 +65,7 @@
 
 // Listen binds a UDP address for packets in the published encapsulation (Geneve). The
 // returned socket does not receive until Start.
-func Listen(address netip.AddrPort, counters *reporter.Counters) (*Socket, error) {
+func Listen(address netip.AddrPort, logger *slog.Logger, counters *reporter.Counters) (*Socket, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("bind the packet address: %w", err)
@@ -68,6 +74,9 @@
 	if err := errors.Join(conn.SetReadBuffer(socketBuffer), conn.SetWriteBuffer(socketBuffer)); err != nil {
 		return nil, errors.Join(fmt.Errorf("set socket buffers: %w", err), conn.Close())
 	}
+	if err := timestamper.Enable(conn); err != nil {
+		logger.Warn("packets have no time of arrival; late opening packets may be relayed", log.FieldError, err)
+	}
 	s := &Socket{
 		conn: conn,
 		// ReadBatch and WriteBatch of the ipv4 package also work on IPv6 sockets, because
@@ -115,7 +124,7 @@
 		return
 	}
 	d.Payload = write(d.storage[:0])
-	d.Remote = to
+	d.Remote, d.ArrivedAt = to, time.Time{}
 	if len(d.Payload) == 0 || !s.outgoing.TryPush(d) {
 		s.sendDropped.Add(1)
 		d.Release()
@@ -137,6 +146,9 @@
 func (s *Socket) receive(handle func(*Datagram)) {
 	messages := make([]ipv4.Message, batchSize)
 	datagrams := make([]*Datagram, batchSize)
+	for i := range messages {
+		messages[i].OOB = make([]byte, timestamper.AncillarySize())
+	}
 	for {
 		for i := range messages {
 			if datagrams[i] != nil {
@@ -155,10 +167,12 @@
 		}
 		// Other errors, such as an ICMP error for a refused datagram, were caused by an
 		// earlier send and do not end reception.
+		now := time.Now()
 		for i := range max(n, 0) {
 			d := datagrams[i]
 			datagrams[i] = nil
 			d.Payload = d.storage[:messages[i].N]
+			d.ArrivedAt = now.Add(-timestamper.Waited(messages[i].OOB[:messages[i].NN], now))
 			if udp, ok := messages[i].Addr.(*net.UDPAddr); ok {
 				d.Remote = udp.AddrPort()
 			}
--- a/entry/services/balancer/backend.go
+++ b/entry/services/balancer/backend.go
@@ -37,15 +37,19 @@
 	generation      uint64
 	slots           int
 	flows, requests int
-	timeouts        timeouts
-	isReady         bool
-	coldStart       *coldStartState
-	health          *dataCentreHealth
+	// sharedFlows is the number of long flows through other entries, by the last summary.
+	sharedFlows int
+	timeouts    timeouts
+	isReady     bool
+	coldStart   *coldStartState
+	health      *dataCentreHealth
 	// group is the group that contains the backend server, or nil if it must not get new flows.
 	group *group
 	// inImpaired is set while the backend server is in group.impaired, at impairedIndex.
 	inImpaired    bool
 	impairedIndex int
+	// countedSlots are the slots that the backend server adds to those of its group.
+	countedSlots int
 }
 
 // timeouts counts the packets that callers had to repeat since the backend server last answered on
@@ -65,6 +69,8 @@
 	return int((float64(b.flows) + requestWeight*float64(b.requests)) * levelsPerFlow / float64(b.slots))
 }
 
+func (b *backend) sharedFlowsPerSlot() float64 { return float64(b.sharedFlows) / float64(b.slots) }
+
 // load returns the load per slot, in flows. It is higher during a cold start.
 func (b *backend) load(now time.Time) float64 {
 	load := float64(b.level()) / levelsPerFlow
@@ -88,6 +94,7 @@
 type group struct {
 	dataCentre string
 	health     *dataCentreHealth
+	load       *groupLoad
 	isLocal    bool
 	// open and full hold the backend servers that are ranked by load alone: those below and those
 	// at or above the saturation limit.
@@ -155,8 +162,16 @@
 	b.inImpaired = false
 }
 
+// countSlots adds the slots of a backend server to those of the group.
+func (g *group) countSlots(b *backend) {
+	b.countedSlots = b.slots
+	g.load.slots += b.countedSlots
+}
+
 // remove removes a backend server from the group.
 func (g *group) remove(b *backend) {
+	g.load.slots -= b.countedSlots
+	b.countedSlots = 0
 	prioritiser.Remove(b)
 	g.removeImpaired(b)
 	b.group = nil
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/redwingledge/redwingledge/entry/services/admitter"
+	"github.com/redwingledge/redwingledge/entry/services/hedger"
 	"github.com/redwingledge/redwingledge/shared/models/director"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
@@ -13,6 +15,9 @@
 	// maxFreshViewAge is the age up to which the view is reliable enough to refuse an unknown
 	// address. It covers two polls of the control cluster.
 	maxFreshViewAge = 3 * time.Second
+	// maxOpeningWait is the time in the socket up to which a first opening packet may be answered with a reset.
+	// Callers send a copy after 200 ms, which another entry may have forwarded by the time the first is read.
+	maxOpeningWait = 100 * time.Millisecond
 	// defaultIdleTimeout applies until a configuration sets another one.
 	defaultIdleTimeout = 15 * time.Second
 )
@@ -30,6 +35,11 @@
 	// Clock, if set, also counts the time in which the VM was suspended. It is read at each update
 	// of the view, and before an unknown address is refused.
 	Clock timer.Service
+	// Overload, if set, limits new flows above capacity, and places them by the load through all entries as
+	// far as SetSharedLoad tells it. It must be valid.
+	Overload *admitter.Settings
+	// Hedger, if set, decides which opening packets are sent to a second backend server.
+	Hedger *hedger.Hedger
 }
 
 // Balancer decides where packets go. It is safe for concurrent use.
@@ -44,14 +54,20 @@
 	confirmedAt time.Time
 	selector    *selector
 	flows       map[flowKey]*flow
+	// admitter is nil if new flows are not limited.
+	admitter *admitter.Admitter
 }
 
 // New returns a Balancer without a view.
 func New(settings Settings, rng *rand.Rand) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		settings: settings, rng: rng, directory: director.NewDirectory(),
 		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow),
 	}
+	if settings.Overload != nil {
+		b.admitter = admitter.New(*settings.Overload)
+	}
+	return b
 }
 
 // Update applies changes that lead to index. If complete is set, they replace the whole view. An
@@ -78,6 +94,7 @@
 		}
 	}
 	b.index, b.updatedAt = index, now
+	b.holdSecondOpenings(changes, complete, now)
 	if b.settings.Clock != nil {
 		b.confirmedAt = b.settings.Clock.Now()
 	}
@@ -115,7 +132,11 @@
 func (b *Balancer) Decide(p Packet, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.admitter != nil {
+		b.recordArrival(p, now)
+	}
 	verdict := b.decide(p, now)
+	b.recordRefusal(p, verdict, now)
 	if !b.updatedAt.IsZero() {
 		verdict.View = View{Index: b.index, Version: b.directory.Version, Age: now.Sub(b.updatedAt)}
 	}
@@ -137,6 +158,11 @@
 	f := b.flows[key]
 	server, ok := b.directory.Server(p.Token)
 	verdict := Verdict{Action: ActionForward}
+	if f != nil && f.second != nil {
+		if holder, isLikely := b.likelyHolder(f, p, now); isLikely {
+			server, ok, verdict.IsKept = holder, true, true
+		}
+	}
 	if f != nil && f.isEstablished && f.token != p.Token {
 		if holder, isKept := b.holderOf(f, p, route); isKept {
 			server, ok, verdict.IsKept = holder, true, true
@@ -155,6 +181,7 @@
 		return refusal
 	}
 	verdict.Server = server
+	verdict.Overtaken = b.recordOpened(p, f, server.Token, now)
 	b.trackPacket(p, key, f, server, now)
 	return verdict
 }
@@ -170,13 +197,30 @@
 	return Verdict{Action: action, Reason: reason, Server: server, IsTracked: ok && f.isEstablished}
 }
 
+// refuseOpening refuses the opening packet of a flow that this entry does not know. Only a first one that was
+// read in time is answered with a reset: the others may have been overtaken by a copy through another entry,
+// and the flow be open.
+func (b *Balancer) refuseOpening(p Packet, reason Reason) Verdict {
+	if p.Retransmissions > 0 {
+		return b.refuse(p, ActionDrop, reason)
+	}
+	if p.Waited < maxOpeningWait {
+		return b.refuse(p, ActionReset, reason)
+	}
+	v := b.refuse(p, ActionDrop, reason)
+	v.IsLate = true
+	return v
+}
+
 // refuseUnknownAddress refuses a packet to an address without a route. It resets the flow only if no
 // entry that knows of a newer configuration can have opened it, and the view is not out of date.
 func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
 	switch {
 	case now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge:
 		return b.refuse(p, ActionDrop, ReasonStaleView)
-	case p.IsOpening && p.Retransmissions == 0, !p.IsOpening && b.hasLostRoute(p):
+	case p.IsOpening:
+		return b.refuseOpening(p, ReasonNoRoute)
+	case b.hasLostRoute(p):
 		return b.refuse(p, ActionReset, ReasonNoRoute)
 	default:
 		return b.refuse(p, ActionDrop, ReasonNoRoute)
@@ -199,6 +243,7 @@
 	tried := director.Token(0)
 	known, isKnown := b.flows[key]
 	if isKnown {
+		b.endSecondOpening(known, p, now)
 		server, ok := b.directory.Server(known.token)
 		switch {
 		case ok && server.AcceptsNewFlows() && !known.needsOtherServer(p, now):
@@ -210,33 +255,33 @@
 			b.selector.recordTimeout(tried, true, now)
 		}
 	}
-	token := b.pick(route, key, tried, now)
+	service := route.PickService(key.hashFraction())
+	if b.admitter != nil && !isKnown {
+		var reason Reason
+		admitTo := func(service string) (bool, Reason) { return b.admitTo(route, service, now) }
+		if service, reason = admit(route, service, admitTo); reason != ReasonNone {
+			return b.refuseOpening(p, reason)
+		}
+	}
+	token := b.pick(route, service, tried, now)
 	server, ok := b.directory.Server(token)
 	if !ok {
-		if isKnown || p.Retransmissions > 0 {
+		if isKnown {
 			return b.refuse(p, ActionDrop, ReasonNoServer)
 		}
-		return b.refuse(p, ActionReset, ReasonNoServer)
+		return b.refuseOpening(p, ReasonNoServer)
 	}
 	b.untrack(key, now)
 	placement := b.selector.describe(server, tried, now)
-	b.track(key, flow{token: token, retransmissions: p.Retransmissions, lastPacketAt: now})
-	return Verdict{Action: ActionForward, Server: server, Placement: placement}
+	f := b.track(key, flow{token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now})
+	return Verdict{Action: ActionForward, Server: server, Placement: placement, Ticket: b.offerSecondOpening(p, f, route, tried, now)}
 }
 
-// pick returns the token of the backend server for a new flow, or 0. The weights of the route
-// choose the service; if that has no backend server available, another service with a weight is
-// used.
-func (b *Balancer) pick(route director.Route, key flowKey, tried director.Token, now time.Time) director.Token {
-	chosen := route.PickService(key.hashFraction())
-	if token := b.selector.pick(chosen, tried, now); token != 0 {
-		return token
-	}
-	for _, share := range route.Shares {
-		if share.Weight == 0 || share.Service == chosen {
-			continue
-		}
-		if token := b.selector.pick(share.Service, tried, now); token != 0 {
+// pick returns the token of the backend server for a new flow, or 0. If the chosen service has no
+// backend server available, another service of the route with a weight is used.
+func (b *Balancer) pick(route director.Route, chosen string, tried director.Token, now time.Time) director.Token {
+	for service := range servicesOf(route, chosen) {
+		if token := b.selector.pick(service, tried, now); token != 0 {
 			return token
 		}
 	}
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/redwingledge/redwingledge/entry/services/hedger"
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
 
@@ -33,17 +34,32 @@
 type flow struct {
 	token           director.Token
 	retransmissions uint32
-	lastPacketAt    time.Time
+	// openedAt is when this entry first saw the flow.
+	openedAt, lastPacketAt time.Time
 	// isEstablished is set once the caller has acknowledged the answer to its opening packet.
 	isEstablished bool
 	// isRequestPending is set while the caller has sent a request, up to sequence, and has
 	// acknowledged nothing since.
-	isRequestPending       bool
+	isRequestPending bool
+	// isRequestRepeated is set once the caller has retransmitted the pending request.
+	isRequestRepeated      bool
 	sequence, acknowledged uint32
+	// ticket identifies the opening packet if it may be sent to a second backend server.
+	ticket hedger.Ticket
 	// requestedAt is when the pending request began.
 	requestedAt time.Time
-	// isRequestRepeated is set once the caller has retransmitted the pending request.
-	isRequestRepeated bool
+	// isRequestExpired is set once the pending request no longer counts as load.
+	isRequestExpired bool
+	// hasRequested is set once the caller has sent a request.
+	hasRequested bool
+	// isAnswered is set once a request of the flow has been answered.
+	isAnswered bool
+	// progress counts the request in progress since progressSince; nil if there is none.
+	progress      *groupLoad
+	progressSince time.Time
+	// second is set from the second opening until the caller has acknowledged an answer or sent a copy. token
+	// is then the second backend server.
+	second *second
 }
 
 // needsOtherServer reports whether an opening packet of the flow shows that its backend server has not
@@ -67,10 +83,18 @@
 		return
 	}
 	b.selector.addFlow(f.token, -1, now)
-	if f.isRequestPending {
+	f.endProgress()
+	b.releaseRequest(f, now)
+	b.cancelSecondOpening(f)
+	delete(b.flows, key)
+}
+
+// releaseRequest takes the pending request of a flow, if any, off the load of its backend server.
+func (b *Balancer) releaseRequest(f *flow, now time.Time) {
+	if f.isRequestPending && !f.isRequestExpired {
+		f.isRequestExpired = true
 		b.selector.addRequest(f.token, -1, now)
 	}
-	delete(b.flows, key)
 }
 
 // holderOf returns the backend server that holds the established flow f of a packet whose token names
@@ -96,14 +120,14 @@
 	if f == nil || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
-		if f = b.track(key, flow{token: server.Token, isEstablished: true, acknowledged: p.Acknowledged, lastPacketAt: now}); f == nil {
+		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now}); f == nil {
 			return
 		}
 	}
 	f.lastPacketAt = now
 	b.recordAnswer(f, p, now)
 	if p.HasData {
-		b.recordRequest(f, p, now)
+		b.recordRequest(key, f, p, server, now)
 	}
 }
 
@@ -113,22 +137,28 @@
 	if f.isEstablished && p.Acknowledged == f.acknowledged {
 		return
 	}
+	if b.admitter != nil && !f.isEstablished && f.retransmissions == 0 {
+		b.admitter.RecordOpened(now.Sub(f.openedAt), now)
+	}
 	f.isEstablished, f.acknowledged = true, p.Acknowledged
 	b.selector.recordAnswer(f.token, now)
 	if f.isRequestPending {
-		f.isRequestPending, f.isRequestRepeated = false, false
+		b.releaseRequest(f, now)
+		f.isRequestPending, f.isRequestRepeated, f.isAnswered = false, false, true
 		if b.settings.ObserveResponseTime != nil {
 			b.settings.ObserveResponseTime(now.Sub(f.requestedAt))
 		}
-		b.selector.addRequest(f.token, -1, now)
+		b.endRequest(f, now)
 	}
 }
 
 // recordRequest records data from the caller. Data that is retransmitted was not answered in time.
-func (b *Balancer) recordRequest(f *flow, p Packet, now time.Time) {
+func (b *Balancer) recordRequest(key flowKey, f *flow, p Packet, server director.Server, now time.Time) {
 	if !f.isRequestPending {
-		f.isRequestPending, f.sequence, f.requestedAt = true, p.Sequence, now
+		f.isRequestPending, f.isRequestExpired, f.sequence, f.requestedAt = true, false, p.Sequence, now
 		b.selector.addRequest(f.token, 1, now)
+		b.beginRequest(key, f, server, now)
+		f.hasRequested = true
 		return
 	}
 	if int32(p.Sequence-f.sequence) > 0 {
@@ -141,10 +171,13 @@
 	}
 }
 
-// Sweep removes flows that have been idle for longer than the idle timeout.
+// Sweep removes flows that have been idle for longer than the idle timeout, and requests that no longer count.
 func (b *Balancer) Sweep(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, s := range b.selector.loads.services {
+		b.expireRequests(s, now)
+	}
 	timeout := b.directory.IdleTimeout
 	if timeout <= 0 {
 		timeout = defaultIdleTimeout
--- a/entry/services/balancer/health.go
+++ b/entry/services/balancer/health.go
@@ -60,6 +60,11 @@
 	return isRetransmission && h.unansweredServers > 0 || now.Before(h.retryAt)
 }
 
+// isDown reports whether the data centre does not answer and its next probe is not due.
+func (h *dataCentreHealth) isDown(now time.Time) bool {
+	return h.unansweredServers >= outageThreshold && now.Before(h.retryAt)
+}
+
 // recordChoice records that a new flow goes to the data centre. While the data centre seems to be
 // down, this flow is the probe, and others avoid it for the backoff.
 func (h *dataCentreHealth) recordChoice(now time.Time) {
--- /dev/null
+++ b/entry/services/balancer/overload_harness_test.go
@@ -0,0 +1,293 @@
+package balancer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/redwingledge/redwingledge/entry/services/admitter"
+	"github.com/redwingledge/redwingledge/entry/services/balancer"
+	"github.com/redwingledge/redwingledge/shared/models/director"
+	"github.com/redwingledge/redwingledge/shared/models/loadsharer"
+)
+
+const (
+	serverSlots   = 2
+	serverQueue   = 8
+	callerLatency = time.Millisecond
+	// linkQueue is the longest wait of a packet for the link of an entry; later ones are lost. It is longer than
+	// callers wait for an answer, which is the hardest case: nothing that has waited there is of use.
+	linkQueue = 1500 * time.Millisecond
+	// maxLinkUse is the share of the rate above which a link counts as short.
+	maxLinkUse = 0.8
+	// calmLoad is the load before and after the burst, as a multiple of the capacity.
+	calmLoad = 0.5
+)
+
+// traffic describes the requests on one route. rate is their share in relation to the other routes.
+type traffic struct {
+	kind                  director.Kind
+	priority              uint8
+	rate                  float64
+	work, target, timeout time.Duration
+	request, response     int
+	isLong                bool
+}
+
+// overloadCase describes one run: calm, a burst, calm again.
+type overloadCase struct {
+	entries, servers int
+	// linkRate is in bytes per second. slowShare of the requests take 7 times as long; the work is
+	// log-normal with the given spread. load is that of the burst, as a multiple of the capacity.
+	linkRate, slowShare, spread, load    float64
+	routes                               []traffic
+	latency, calm, burst, recovery       time.Duration
+	callers                              int // long flows of a route before one is used again
+	overload                             *admitter.Settings
+	reporterLies, losesReports, takesOut bool
+	seed                                 uint64
+}
+
+// requestRate returns the requests per second that all slots can run, and the part of them on a route.
+func (c overloadCase) requestRate(route int) (all, onRoute float64) {
+	rate, work := 0.0, 0.0
+	for _, t := range c.routes {
+		rate += t.rate
+		work += t.rate * t.work.Seconds() * (1 + 6*c.slowShare)
+	}
+	all = float64(c.servers*serverSlots) * rate / work
+	return all, all * c.routes[route].rate / rate
+}
+
+// isLinkShort reports whether the links cannot carry the requests that the slots can run, with three opening
+// packets of each request that is refused.
+func (c overloadCase) isLinkShort() bool {
+	bytes, rate := 0.0, 0.0
+	for _, t := range c.routes {
+		packets := 4 + t.response/2400
+		if t.isLong {
+			packets = 1 + t.response/2400
+		}
+		bytes += t.rate * float64(headerBytes*packets+headerBytes+t.request)
+		rate += t.rate
+	}
+	all, _ := c.requestRate(0)
+	refused := max(c.load-1, 0) * all * 3 * headerBytes
+	return all*min(c.load, 1)*bytes/rate+refused > maxLinkUse*c.linkRate*float64(c.entries)
+}
+
+func (c overloadCase) end() time.Duration           { return c.calm + c.burst + c.recovery }
+func (c overloadCase) isBurst(t time.Duration) bool { return t >= c.calm && t < c.calm+c.burst }
+func dataCentreName(i int) string                   { return string(rune('a' + i%3)) }
+func routeAddress(i int) netip.AddrPort             { return addressPort(198<<24|18<<16|i, 443) }
+func addressPort(address int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(address >> 24), byte(address >> 16), byte(address >> 8), byte(address)}), port)
+}
+
+type scheduledEvent struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type eventQueue []scheduledEvent
+
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(e any)   { *q = append(*q, e.(scheduledEvent)) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
+}
+
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type modelEntry struct {
+	*balancer.Balancer
+	dataCentre string
+	linkFreeAt time.Duration // when the link has carried all packets sent so far
+}
+
+type modelServer struct {
+	director.Server
+	running, served int
+	coming          int // flows that open or have a request on its way
+	queue           []*modelCall
+	isOut           bool
+}
+
+// overloadRun is one run in virtual time.
+type overloadRun struct {
+	overloadCase
+	overloadResult
+	rng             *rand.Rand
+	now             time.Duration
+	sequence, flows int
+	events          eventQueue
+	entries         []*modelEntry
+	servers         []*modelServer
+	idle            [][]*modelFlow // open flows without a request, by route
+	open            []int          // open flows, by route
+}
+
+func runOverload(c overloadCase) *overloadRun {
+	r := &overloadRun{overloadCase: c, rng: rand.New(rand.NewPCG(c.seed, 3)), idle: make([][]*modelFlow, len(c.routes)), open: make([]int, len(c.routes))}
+	changes := []director.Change{director.VersionChanged{Version: 1, IdleTimeout: 15 * time.Second}}
+	for i, t := range c.routes {
+		changes = append(changes, director.RouteChanged{Route: director.Route{
+			Address: routeAddress(i), Kind: t.kind, Priority: t.priority, TargetLatency: t.target,
+			Shares: []director.Share{{Service: "rollcall", Weight: 1}},
+		}})
+		r.arrive(i)
+	}
+	for i := range c.servers {
+		s := &modelServer{Server: server(director.Token(i+1), "rollcall", dataCentreName(i))}
+		r.servers = append(r.servers, s)
+		changes = append(changes, director.ServerChanged{Server: s.Server})
+	}
+	for i := range c.entries {
+		settings := balancer.Settings{Name: fmt.Sprintf("entry-%d", i), DataCentre: dataCentreName(i), MaxFlows: 100_000, Overload: c.overload}
+		e := &modelEntry{Balancer: balancer.New(settings, rand.New(rand.NewPCG(c.seed, uint64(i)))), dataCentre: settings.DataCentre}
+		// A complete view would place the backend servers in random order.
+		e.Update(1, changes, false, r.time())
+		r.entries = append(r.entries, e)
+	}
+	r.exchange(0)
+	if c.takesOut {
+		r.after(c.calm+c.burst/2, r.takeOut)
+	}
+	for len(r.events) > 0 {
+		next := heap.Pop(&r.events).(scheduledEvent)
+		r.now = next.at
+		next.run()
+	}
+	return r
+}
+
+func (r *overloadRun) time() time.Time { return start.Add(r.now) }
+
+func (r *overloadRun) after(d time.Duration, run func()) {
+	r.sequence++
+	heap.Push(&r.events, scheduledEvent{at: r.now + d, sequence: r.sequence, run: run})
+}
+
+// arrive schedules the next request on a route.
+func (r *overloadRun) arrive(route int) {
+	_, rate := r.requestRate(route)
+	if rate *= calmLoad; r.isBurst(r.now) {
+		rate *= r.load / calmLoad
+	}
+	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if r.now < r.end() {
+			r.arrive(route)
+			r.begin(route)
+		}
+	})
+}
+
+// takeOut takes a data centre out of service, which all entries hear at once.
+func (r *overloadRun) takeOut() {
+	for _, s := range r.servers {
+		s.isOut = s.DataCentre == "c"
+	}
+	for _, e := range r.entries {
+		e.Update(2, []director.Change{director.DataCentreChanged{Name: "c", TakenOut: true}}, false, r.time())
+	}
+}
+
+// exchange hands the sum of the reports of all entries back to them after 100 ms. The contribution of a
+// reporter is capped as by the control replicas.
+func (r *overloadRun) exchange(round int) {
+	figures := make(map[any][]uint32)
+	for i, e := range r.entries {
+		e.Sweep(r.time())
+		load, factor := e.LoadReport(round%4 == 0, r.time()), uint32(1)
+		if i == 0 && r.reporterLies {
+			factor = 100
+		}
+		add := func(key any, value uint32) { figures[key] = append(figures[key], factor*value) }
+		for _, g := range load.Groups {
+			add(loadsharer.GroupLoad{Service: g.Service, DataCentre: g.DataCentre}, g.Requests)
+		}
+		for _, a := range load.Arrivals {
+			add(loadsharer.ServiceArrivals{Service: a.Service}, a.PerSecond)
+		}
+		for _, s := range load.Servers {
+			add(loadsharer.ServerLoad{Token: s.Token}, s.Flows)
+		}
+	}
+	summary := loadsharer.Summary{Entries: uint32(len(r.entries)), HasServers: round%4 == 0, Age: 100 * time.Millisecond}
+	for key, values := range figures {
+		slices.Sort(values)
+		sum := uint32(0)
+		for _, v := range values {
+			sum += min(v, max(8, 4*values[len(values)/2]))
+		}
+		switch figure := key.(type) {
+		case loadsharer.GroupLoad:
+			figure.Requests = sum
+			summary.Load.Groups = append(summary.Load.Groups, figure)
+		case loadsharer.ServiceArrivals:
+			figure.PerSecond = sum
+			summary.Load.Arrivals = append(summary.Load.Arrivals, figure)
+		case loadsharer.ServerLoad:
+			figure.Flows = sum
+			summary.Load.Servers = append(summary.Load.Servers, figure)
+		}
+	}
+	r.after(summary.Age, func() {
+		for _, e := range r.entries {
+			if r.overload != nil && !r.losesReports {
+				e.SetSharedLoad(summary, r.time())
+			}
+		}
+	})
+	if r.now < r.end() {
+		r.after(500*time.Millisecond, func() { r.exchange(round + 1) })
+	}
+}
+
+// send sends a packet of a call over the link of its entry. arrive is called with the backend server that
+// gets it.
+func (r *overloadRun) send(c *modelCall, p balancer.Packet, size int, arrive func(*modelServer)) {
+	f := c.flow
+	p.Source, p.Destination, p.Acknowledged, p.Size = f.source, routeAddress(c.route), f.received, size
+	if f.server != nil {
+		p.Token = f.server.Token
+	}
+	sentAt, at := r.now, max(r.now+callerLatency, f.entry.linkFreeAt)
+	r.packets++
+	if at-r.now-callerLatency > linkQueue {
+		r.lost++
+		return
+	}
+	f.entry.linkFreeAt = at + time.Duration(float64(size)/r.linkRate*float64(time.Second))
+	r.after(f.entry.linkFreeAt-r.now, func() {
+		verdict := f.entry.Decide(p, r.time())
+		switch verdict.Action {
+		case balancer.ActionForward:
+			s := r.servers[verdict.Server.Token-1]
+			if p.IsOpening && f.server == nil && !f.isClosed {
+				f.expect(s)
+			}
+			if verdict.Placement.IsNew && s.isOut {
+				r.placedOut++
+			}
+			delay := callerLatency / 2
+			if s.DataCentre != f.entry.dataCentre {
+				delay += r.latency
+			}
+			r.after(delay, func() { arrive(s) })
+		case balancer.ActionReset:
+			r.recordReset(p, verdict.Reason, sentAt)
+			r.after(callerLatency, func() { r.fail(c, f) })
+		case balancer.ActionDrop:
+		}
+	})
+}
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/redwingledge/redwingledge/entry/services/hedger"
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
 
@@ -27,8 +28,14 @@
 	// HasData is set if the packet carries data of the caller, which starts at Sequence.
 	HasData  bool
 	Sequence uint32
+	// Size is the number of bytes that the packet takes on the link of the entry.
+	Size int
 	// Acknowledged is the position up to which the caller has received data.
 	Acknowledged uint32
+	// Waited is how long the packet waited in the socket of the entry before it was read, or 0 if unknown.
+	Waited time.Duration
+	// MayRepeat is set if the router keeps an opening packet for which the verdict has a ticket.
+	MayRepeat bool
 }
 
 // Action is the treatment of a packet.
@@ -67,6 +74,13 @@
 	// ReasonLateCopy is an opening packet of a flow that is already established at a backend server
 	// that gets no new flows.
 	ReasonLateCopy
+	// ReasonOverCapacity is an opening packet to a service that has no slot free and cannot serve a further
+	// request in time.
+	ReasonOverCapacity
+	// ReasonLinkFull is an opening packet that the link of the entry has no room for.
+	ReasonLinkFull
+	// ReasonUnreachable is an opening packet to a service of which no data centre answers.
+	ReasonUnreachable
 
 	reasonCount
 )
@@ -75,6 +89,7 @@
 func (r Reason) String() string {
 	names := [reasonCount]string{
 		"none", "no_view", "no_route", "stale_view", "no_server", "unknown_token", "other_service", "server_gone", "late_copy",
+		"over_capacity", "link_full", "unreachable",
 	}
 	if r >= reasonCount {
 		return "unknown"
@@ -99,8 +114,16 @@
 	// IsKept is set if the token of a forwarded packet names another backend server than the one that
 	// holds its flow, and the packet goes to the latter.
 	IsKept bool
+	// IsLate is set on a first opening packet that is dropped instead of reset because it waited in the socket.
+	IsLate bool
 	// Placement describes how a new flow was placed.
 	Placement Placement
+	// Ticket is set on an opening packet that may be sent to a second backend server; see
+	// Balancer.SecondOpenings.
+	Ticket hedger.Ticket
+	// Overtaken is set on the packet that opens a flow at the second backend server. It is the first one,
+	// which has not answered before.
+	Overtaken director.Token
 	// View identifies the view that the decision is based on.
 	View View
 }
--- a/entry/services/balancer/reset_test.go
+++ b/entry/services/balancer/reset_test.go
@@ -67,6 +67,36 @@
 	})
 }
 
+// Guards against the reset of a flow that a copy has opened through another entry while the first opening packet
+// waited in the socket of an entry that did not run.
+func TestOpeningPacketThatWaitedIsNotReset(t *testing.T) {
+	t.Parallel()
+	requireVerdict := func(t *testing.T, b *balancer.Balancer, p balancer.Packet, want balancer.Reason) {
+		t.Helper()
+		requireRefused(t, b.Decide(p, start), balancer.ActionReset, want)
+		p.Waited = firstRetransmission / 2
+		v := b.Decide(p, start)
+		requireRefused(t, v, balancer.ActionDrop, want)
+		require.True(t, v.IsLate)
+	}
+	t.Run("without a backend server", func(t *testing.T) {
+		t.Parallel()
+		requireVerdict(t, newBalancer(t), opening(caller, 0), balancer.ReasonNoServer)
+	})
+	t.Run("to an unknown address", func(t *testing.T) {
+		t.Parallel()
+		p := opening(caller, 0)
+		p.Destination = other
+		requireVerdict(t, newBalancer(t), p, balancer.ReasonNoRoute)
+	})
+	t.Run("but forwarded if there is a backend server", func(t *testing.T) {
+		t.Parallel()
+		p := opening(caller, 0)
+		p.Waited = time.Second
+		requireForwarded(t, newBalancer(t, serverChanged(1, director.StateReady)).Decide(p, start), 1)
+	})
+}
+
 func routeRemoved(address netip.AddrPort) director.RouteRemoved {
 	return director.RouteRemoved{Address: address}
 }
--- a/entry/services/balancer/selector.go
+++ b/entry/services/balancer/selector.go
@@ -23,6 +23,11 @@
 	// each failed one that is chosen.
 	unresponsivePenalty = 10_000.0
 
+	// flowDifferenceFactor multiplies the relative difference in flows of other entries of two backend servers to
+	// the probability with which the second one drawn replaces the first. Where a quarter of the requests come on
+	// new flows, these offset a difference in long flows only if they differ about three times as much.
+	flowDifferenceFactor = 3.0
+
 	// maxImpairedCompared limits how many impaired backend servers (unresponsive or in their cold
 	// start) are compared for one choice.
 	maxImpairedCompared = 64
@@ -45,13 +50,14 @@
 	takenOut           map[string]bool
 	// coldBackends holds the backend servers that are in their cold start.
 	coldBackends map[director.Token]*backend
+	loads        *loadTable
 	// generation counts the complete views.
 	generation uint64
 }
 
 func newSelector(name, dataCentre string, rng *rand.Rand) *selector {
 	return &selector{
-		name: name, dataCentre: dataCentre, rng: rng, pools: make(map[string]*pool), backends: make(map[director.Token]*backend),
+		name: name, dataCentre: dataCentre, rng: rng, loads: newLoadTable(), pools: make(map[string]*pool), backends: make(map[director.Token]*backend),
 		healthByDataCentre: make(map[string]*dataCentreHealth), takenOut: make(map[string]bool), coldBackends: make(map[director.Token]*backend),
 	}
 }
@@ -126,12 +132,13 @@
 	}
 	switch server.State {
 	case director.StateReady:
-		b.group = s.groupOf(p.ready, server.DataCentre)
+		b.group = s.groupOf(p.ready, server)
+		b.group.countSlots(b)
 		if !wasReady {
 			b.health.recordStart(now)
 		}
 	case director.StateLapsed:
-		b.group = s.groupOf(p.lapsed, server.DataCentre)
+		b.group = s.groupOf(p.lapsed, server)
 	case director.StateDraining, director.StateGone:
 		return b
 	}
@@ -148,10 +155,14 @@
 	return health
 }
 
-func (s *selector) groupOf(groups map[string]*group, dataCentre string) *group {
+func (s *selector) groupOf(groups map[string]*group, server director.Server) *group {
+	dataCentre := server.DataCentre
 	g := groups[dataCentre]
 	if g == nil {
-		g = &group{health: s.healthOf(dataCentre), isLocal: dataCentre == s.dataCentre, dataCentre: dataCentre}
+		g = &group{
+			health: s.healthOf(dataCentre), load: s.loads.of(server.Service).group(dataCentre),
+			isLocal: dataCentre == s.dataCentre, dataCentre: dataCentre,
+		}
 		groups[dataCentre] = g
 	}
 	return g
@@ -198,6 +209,8 @@
 	// used only if there is no other.
 	tried *backend
 	now   time.Time
+	// spills is set if the flow avoids the local data centre because of its shared load.
+	spills bool
 }
 
 // choice is the best backend server found so far.
@@ -224,8 +237,20 @@
 // pick returns the token of the least loaded backend server of a service, or 0. The backend server
 // that was tried before is used only if there is no other.
 func (s *selector) pick(service string, tried director.Token, now time.Time) director.Token {
-	a := attempt{tried: s.backends[tried], now: now}
 	groups := s.groups(service)
+	a := attempt{tried: s.backends[tried], now: now, spills: s.spills(groups, now)}
+	best := s.findBest(groups, a)
+	if best == nil {
+		if a.tried == nil || a.tried.group == nil || !slices.Contains(groups, a.tried.group) || !a.tried.coldStart.mayOpenFlow(now) {
+			return 0
+		}
+		best = a.tried
+	}
+	return best.choose(now)
+}
+
+// findBest returns the least loaded backend server of the groups except the one that was tried, or nil.
+func (s *selector) findBest(groups []*group, a attempt) *backend {
 	var best choice
 	remaining := maxImpairedCompared
 	for _, g := range groups {
@@ -238,20 +263,18 @@
 			s.compare(g, a, len(g.impaired), &best)
 		}
 	}
-	if best.backend == nil {
-		if a.tried == nil || a.tried.group == nil || !slices.Contains(groups, a.tried.group) || !a.tried.coldStart.mayOpenFlow(now) {
-			return 0
-		}
-		best.backend = a.tried
-	}
-	best.backend.coldStart.useTimeSlot(now)
-	best.backend.health.recordChoice(now)
-	return best.backend.token
+	return best.backend
 }
 
-// compare compares the backend servers of a group with the best choice so far. It visits up to
-// limit impaired ones and returns how many it visited.
-func (s *selector) compare(g *group, a attempt, limit int, best *choice) int {
+// choose records that a new flow goes to the backend server, and returns its token.
+func (b *backend) choose(now time.Time) director.Token {
+	b.coldStart.useTimeSlot(now)
+	b.health.recordChoice(now)
+	return b.token
+}
+
+// penalty returns what is added to the load of each backend server of the group.
+func (g *group) penalty(a attempt) float64 {
 	penalty := 0.0
 	if !g.isLocal {
 		penalty += remotePenalty
@@ -259,39 +282,72 @@
 	if g.health.isAvoided(a.tried != nil, a.now) {
 		penalty += outagePenalty
 	}
+	if g.isLocal && a.spills {
+		penalty += saturationPenalty
+	}
+	return penalty
+}
+
+// impairedLoad returns the load by which an impaired backend server is compared, with the penalty of its group.
+// It returns false if the backend server may not be chosen now.
+func (b *backend) impairedLoad(penalty float64, a attempt) (float64, bool) {
+	if b == a.tried || !b.coldStart.mayOpenFlow(a.now) {
+		return 0, false
+	}
+	load := penalty + b.load(a.now)
+	if b.isFull() {
+		load += saturationPenalty
+	}
+	if b.isUnresponsive(a.now) {
+		load += unresponsivePenalty
+	}
+	return load, true
+}
+
+// compare compares the backend servers of a group with the best choice so far. It visits up to
+// limit impaired ones and returns how many it visited.
+func (s *selector) compare(g *group, a attempt, limit int, best *choice) int {
+	penalty := g.penalty(a)
 	if best.backend != nil && penalty > best.load {
 		return 0
 	}
 	visited := g.visitImpaired(limit, a.now, func(b *backend) {
-		if b == a.tried || !b.coldStart.mayOpenFlow(a.now) {
-			return
-		}
-		load := penalty + b.load(a.now)
-		if b.isFull() {
-			load += saturationPenalty
+		if load, ok := b.impairedLoad(penalty, a); ok {
+			best.consider(load, 1, s.rng, func() *backend { return b })
 		}
-		if b.isUnresponsive(a.now) {
-			load += unresponsivePenalty
-		}
-		best.consider(load, 1, s.rng, func() *backend { return b })
 	})
 	if items, level := g.open.LowestLevel(a.tried); items != nil {
-		s.considerOneOf(items, penalty+float64(level)/levelsPerFlow, a.tried, best)
+		s.considerOneOf(items, penalty+float64(level)/levelsPerFlow, a, best)
 	}
 	if items, level := g.full.LowestLevel(a.tried); items != nil {
-		s.considerOneOf(items, penalty+saturationPenalty+float64(level)/levelsPerFlow, a.tried, best)
+		s.considerOneOf(items, penalty+saturationPenalty+float64(level)/levelsPerFlow, a, best)
 	}
 	return visited
 }
 
-// considerOneOf considers several backend servers with the same load, except skip.
-func (s *selector) considerOneOf(items []*backend, load float64, skip *backend, best *choice) {
-	best.consider(load, len(items), s.rng, func() *backend {
+// considerOneOf considers several backend servers with the same load through this entry, except the one
+// that was tried. Of two drawn at random, the one with fewer flows through other entries is taken. Taking
+// the one with the fewest of all would send the flows of all entries to it until the next summary.
+func (s *selector) considerOneOf(items []*backend, load float64, a attempt, best *choice) {
+	draw := func() *backend {
 		i := s.rng.IntN(len(items))
-		if items[i] == skip {
+		if items[i] == a.tried {
 			i = (i + 1) % len(items)
 		}
 		return items[i]
+	}
+	best.consider(load, len(items), s.rng, func() *backend {
+		first := draw()
+		if weight := s.loads.weight(a.now); weight == 0 || s.rng.Float64() >= weight {
+			return first
+		}
+		// The greater the difference, the more often the second one is taken: figures are seconds old, and
+		// all entries have the same.
+		second := draw()
+		if x, y := first.sharedFlowsPerSlot(), second.sharedFlowsPerSlot(); s.rng.Float64()*x < flowDifferenceFactor*(x-y) {
+			return second
+		}
+		return first
 	})
 }
 
--- a/entry/services/forwarder/forwarder.go
+++ b/entry/services/forwarder/forwarder.go
@@ -97,9 +97,9 @@
 	return f
 }
 
-// HandleDatagram processes the payload of a datagram received from remote. It does
-// not retain the payload.
-func (f *Forwarder) HandleDatagram(now time.Time, payload []byte, remote netip.AddrPort) {
+// HandleDatagram processes the payload of a datagram received from remote that has waited
+// in this entry for the given time. It does not retain the payload.
+func (f *Forwarder) HandleDatagram(now time.Time, payload []byte, remote netip.AddrPort, waited time.Duration) {
 	if reason := f.decoder.Decode(payload, &f.packet); reason != translator.ReasonNone {
 		f.drop(reason)
 		return
@@ -110,7 +110,7 @@
 	}
 	endpoint := resolver.Endpoint{Address: f.packet.Destination, Protocol: f.packet.Protocol}
 	if service, ok := f.services[endpoint]; ok {
-		f.handleCallerPacket(now, service)
+		f.handleCallerPacket(now, service, waited)
 		return
 	}
 	endpoint.Address = f.packet.Source
@@ -122,7 +122,7 @@
 }
 
 // handleCallerPacket processes a packet from a caller to a service address.
-func (f *Forwarder) handleCallerPacket(now time.Time, service uint16) {
+func (f *Forwarder) handleCallerPacket(now time.Time, service uint16, waited time.Duration) {
 	p := &f.packet
 	decision := f.machine.Decide(now, placer.Packet{
 		Flow:      translator.FlowHash(p.Source, p.Destination, p.Protocol),
@@ -130,6 +130,8 @@
 		Service:   service,
 		Protocol:  placerProtocol(p.Protocol),
 		Flags:     placerFlags(p.Flags),
+		Sequence:  p.Sequence,
+		Waited:    waited,
 	})
 	f.applyDecision(decision)
 }
@@ -267,6 +269,8 @@
 		return translator.ReasonTakenOut
 	case placer.ReasonHoldFull:
 		return translator.ReasonQueueFull
+	case placer.ReasonLateOpening:
+		return translator.ReasonLateOpening
 	default:
 		return translator.ReasonNoBackendServer
 	}
--- a/entry/services/forwarder/forwarder_test.go
+++ b/entry/services/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -59,14 +60,7 @@
 	f.Forwarder = forwarder.New(forwarder.Settings{Name: "entry-1", VNI: vni, Fabric: fabric}, machine, &f.sender, f.counters)
 	f.HandleInput(now, forwarder.MembersChanged{Members: []forwarder.Member{{Name: "entry-1", DataCentre: "a"}}})
 	f.HandleInput(now, forwarder.RecordsChanged{Changed: records})
-	f.HandleInput(now, forwarder.CatalogChanged{Catalog: cataloger.Catalog{
-		Version:     1,
-		DataCentres: []cataloger.DataCentre{{Name: "a", Region: "r"}},
-		Services: []cataloger.Service{{
-			Name: "web", Kind: cataloger.KindFlow, Protocol: cataloger.ProtocolTCP, SprayScope: cataloger.SprayRegion,
-			Addresses: []netip.AddrPort{address4, address6},
-		}},
-	}})
+	f.HandleInput(now, forwarder.CatalogChanged{Catalog: catalog()})
 	f.HandleInput(now, forwarder.PlacerInput{Input: placer.ViewSynchronized{}})
 	for range 500 {
 		f.now = f.now.Add(20 * time.Millisecond)
@@ -76,6 +70,17 @@
 	return f
 }
 
+func catalog() cataloger.Catalog {
+	return cataloger.Catalog{
+		Version:     1,
+		DataCentres: []cataloger.DataCentre{{Name: "a", Region: "r"}},
+		Services: []cataloger.Service{{
+			Name: "web", Kind: cataloger.KindFlow, Protocol: cataloger.ProtocolTCP, SprayScope: cataloger.SprayRegion,
+			Addresses: []netip.AddrPort{address4, address6},
+		}},
+	}
+}
+
 func record(service, host string, address netip.AddrPort) announcer.Record {
 	return announcer.Record{
 		Announcement: announcer.Announcement{
@@ -104,7 +109,7 @@
 }
 
 func (f *fixture) handle(inner []byte, relayedBy uint64, remote netip.AddrPort) {
-	f.HandleDatagram(f.now, translator.Encode(nil, vni, inner, relayedBy), remote)
+	f.HandleDatagram(f.now, translator.Encode(nil, vni, inner, relayedBy), remote, 0)
 }
 
 // requireSent asserts that the last datagram carries a packet between the given
@@ -152,7 +157,7 @@
 		translator.ReasonNoBackendServer: func() {
 			f.handle(tcpPacket(t, caller6, address6, true), 0, fabric)
 		},
-		translator.ReasonTruncated: func() { f.HandleDatagram(f.now, []byte{1}, fabric) },
+		translator.ReasonTruncated: func() { f.HandleDatagram(f.now, []byte{1}, fabric, 0) },
 	} {
 		handle()
 		require.Empty(t, f.sender.to, reason.String())
@@ -162,6 +167,32 @@
 	require.Empty(t, f.sender.to, "a backend server of an unknown service must not reach callers")
 }
 
+// Guards against the wait and the sequence number of an opening packet being lost on the way to its placement:
+// both tell a copy from a new flow once the backend server takes no new ones.
+func TestLateOpeningPacketIsCounted(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, record("web", "h4", backend4))
+	open := func(sequence byte, waited time.Duration) {
+		inner := tcpPacket(t, caller4, address4, true)
+		inner[27] = sequence // the lowest byte, after 20 bytes of IP header and 4 of ports
+		f.HandleDatagram(f.now, translator.Encode(nil, vni, inner, 0), fabric, waited)
+	}
+	requireCounted := func(reason translator.Reason, n int) {
+		require.Contains(t, f.counters.Text(), fmt.Sprintf("packets_dropped_%s %d\n", reason, n))
+	}
+	open(1, time.Second)
+	f.requireSent(t, fabric, caller4, backend4)
+	out, err := catalog().WithTakenOut("a", true)
+	require.NoError(t, err)
+	f.HandleInput(f.now, forwarder.CatalogChanged{Catalog: out})
+	open(1, time.Second)
+	requireCounted(translator.ReasonTakenOut, 1)
+	open(2, 0)
+	requireCounted(translator.ReasonLateOpening, 0)
+	open(2, time.Second)
+	requireCounted(translator.ReasonLateOpening, 1)
+}
+
 // Guards against packets of an open flow that reach another service at the address of its backend server.
 func TestTakenAddressGetsNoPacketsOfFormerService(t *testing.T) {
 	t.Parallel()
--- a/entry/services/subscriber/subscriber.go
+++ b/entry/services/subscriber/subscriber.go
@@ -69,6 +69,7 @@
 	dataCentre string
 	name       string
 
+	// mu guards seeds, and the writes of current, which Followed reads.
 	mu    sync.Mutex
 	seeds []netip.AddrPort
 
@@ -95,6 +96,21 @@
 	s.seeds = slices.Clone(seeds)
 }
 
+// Followed returns the replica that is polled; false if a search is under way. It is safe for
+// concurrent use.
+func (s *Subscriber) Followed() (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.current.IsValid()
+}
+
+// setCurrent sets the replica that is polled. An invalid address starts a search.
+func (s *Subscriber) setCurrent(replica netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = replica
+}
+
 // Run polls until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -121,7 +137,8 @@
 	}
 	s.logger.Warn("control replica lost", "replica", replica, "index", s.index, "error", err)
 	s.closeUnlessRefused(replica, err)
-	s.last, s.current = replica, netip.AddrPort{}
+	s.last = replica
+	s.setCurrent(netip.AddrPort{})
 }
 
 func (s *Subscriber) request(wait time.Duration) *director.WatchRequest {
@@ -163,7 +180,7 @@
 		}
 		if a := s.awaitAnswer(ctx, pending, answers); a != nil {
 			s.logger.Info("control replica followed", log.FieldReplica, a.replica, log.FieldIndex, a.resp.Index, "calls", calls)
-			s.current = a.replica
+			s.setCurrent(a.replica)
 			s.closeOthers()
 			if a.resp.Index == s.index {
 				s.apply(a.resp)
@@ -252,7 +269,8 @@
 	changes, unknown, err := resp.Changes.Decode()
 	if err != nil {
 		s.logger.Error("answer of a replica cannot be read; asking another one", log.FieldReplica, s.current, log.FieldIndex, resp.Index, log.FieldError, err)
-		s.last, s.current = s.current, netip.AddrPort{}
+		s.last = s.current
+		s.setCurrent(netip.AddrPort{})
 		return
 	}
 	if unknown > 0 {
--- a/entry/services/subscriber/subscriber_test.go
+++ b/entry/services/subscriber/subscriber_test.go
@@ -95,6 +95,12 @@
 }
 
 func start(t *testing.T, r *replicas) *view {
+	t.Helper()
+	v, _ := startSubscriber(t, r)
+	return v
+}
+
+func startSubscriber(t *testing.T, r *replicas) (*view, *subscriber.Subscriber) {
 	t.Helper()
 	v := new(view)
 	f := subscriber.New(r, v, []netip.AddrPort{replicaA, replicaB}, "entry-1", "kano-a", timer.NewSystem(), rand.New(rand.NewPCG(1, 1)), log.Discard())
@@ -108,7 +114,7 @@
 		cancel()
 		<-done
 	})
-	return v
+	return v, f
 }
 
 func requireFollowed(t *testing.T, v *view, index uint64, within time.Duration) {
@@ -172,3 +178,18 @@
 	r.set(replicaB, at(7))
 	requireFollowed(t, v, 7, 200*time.Millisecond)
 }
+
+// Guards against calls of other parts to a replica that the entry no longer follows. They ask while
+// the subscriber runs, which the race detector checks.
+func TestFollowedReplicaIsKnown(t *testing.T) {
+	t.Parallel()
+	r := &replicas{answer: map[netip.AddrPort]func(context.Context, *director.WatchRequest) (*director.WatchResponse, error){replicaA: at(7), replicaB: refuse}}
+	_, s := startSubscriber(t, r)
+	for _, expected := range []netip.AddrPort{replicaA, {}} {
+		require.Eventually(t, func() bool {
+			replica, ok := s.Followed()
+			return replica == expected && ok == expected.IsValid()
+		}, 3*time.Second, time.Millisecond)
+		r.set(replicaA, refuse)
+	}
+}
--- a/entry/services/translator/decoder.go
+++ b/entry/services/translator/decoder.go
@@ -163,6 +163,7 @@
 		}
 		packet.Protocol = ProtocolTCP
 		packet.Flags = tcpFlags(&d.tcp)
+		packet.Sequence = d.tcp.Seq
 		packet.Source = netip.AddrPortFrom(source, uint16(d.tcp.SrcPort))
 		packet.Destination = netip.AddrPortFrom(destination, uint16(d.tcp.DstPort))
 	case layers.IPProtocolUDP:
--- a/entry/services/translator/packet.go
+++ b/entry/services/translator/packet.go
@@ -42,6 +42,8 @@
 	Destination netip.AddrPort
 	Protocol    Protocol
 	Flags       Flags
+	// Sequence is the TCP sequence number, or 0 for UDP.
+	Sequence uint32
 	// RelayedBy is the hash of the name of the entry that relayed the packet, or 0
 	// if the fabric delivered it.
 	RelayedBy uint64
@@ -71,6 +73,7 @@
 	ReasonQueueFull
 	ReasonRelayUnknown
 	ReasonAddressConflict
+	ReasonLateOpening
 	reasonCount
 )
 
@@ -91,6 +94,7 @@
 	ReasonQueueFull:       "queue_full",
 	ReasonRelayUnknown:    "relay_unknown",
 	ReasonAddressConflict: "address_conflict",
+	ReasonLateOpening:     "late_opening",
 }
 
 // String returns the name of the reason in snake case, as used in the names of counters.
--- a/entry/services/translator/translator_test.go
+++ b/entry/services/translator/translator_test.go
@@ -71,6 +71,9 @@
 					require.Equal(t, translator.ReasonNone, decoder.Decode(inbound, &packet))
 					require.Equal(t, c.caller, packet.Source)
 					require.Equal(t, c.service, packet.Destination)
+					if protocol == translator.ProtocolTCP {
+						require.Equal(t, uint32(5), packet.Sequence)
+					}
 					translator.RewriteDestination(&packet, c.backend)
 					require.Equal(t, innerPacket(t, protocol, c.caller, c.backend, payload), packet.Inner)
 
--- a/shared/modules/prioritiser/bucket_queue.go
+++ b/shared/modules/prioritiser/bucket_queue.go
@@ -18,6 +18,9 @@
 // GetPosition returns the position. It lets types that embed Position implement Item.
 func (p *Position) GetPosition() *Position { return p }
 
+// Level returns the level at which the item is stored, or 0 if it is in no BucketQueue.
+func (p *Position) Level() int { return p.level }
+
 // Item is implemented by pointers to types that embed Position.
 type Item interface {
 	comparable
