Send slow idempotent requests a second time

Cause: a few slow answers spoil the tail of response times; operators accept extra runs within a limit that they set. Off by default. Retry-After of refusals is spread.

--- a/gateway/cmd/gateway/settings.go
+++ b/gateway/cmd/gateway/settings.go
@@ -8,7 +8,9 @@
 
 	"github.com/redwingledge/redwingledge/gateway/routers"
 	"github.com/redwingledge/redwingledge/gateway/services/claimer"
+	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
 	"github.com/redwingledge/redwingledge/gateway/services/granter"
+	"github.com/redwingledge/redwingledge/gateway/services/hedger"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/gateway/services/scheduler"
 	"github.com/redwingledge/redwingledge/shared/modules/runner"
@@ -38,6 +40,7 @@
 	QueuePerAccount              int           `name:"queue-per-member" env:"REDWINGLEDGE_QUEUE_PER_MEMBER" default:"100" help:"Most waiting requests of one client account of a service."`
 	QueueTotal                   int           `name:"queue-total" env:"REDWINGLEDGE_QUEUE_TOTAL" default:"5000" help:"Most waiting requests of a service."`
 	RetryShare                   float64       `name:"retry-share" env:"REDWINGLEDGE_RETRY_SHARE" default:"0.1" help:"Most retries for each request, 0 to 0.1."`
+	SecondSendShare              float64       `name:"second-send-share" env:"REDWINGLEDGE_SECOND_SEND_SHARE" default:"0" help:"Most second attempts for each request, 0 to 0.1; 0 switches them off. A request with an idempotent method that gets no response in the usual time is sent to a second backend server as well."`
 
 	Lease         time.Duration `name:"slot-lease" env:"REDWINGLEDGE_SLOT_LEASE" default:"2s" help:"Duration of a slot lease; the same at all gateways."`
 	ViewSpread    time.Duration `name:"view-spread" env:"REDWINGLEDGE_VIEW_SPREAD" default:"3s" help:"Longest time until all gateways have a new view; the same at all gateways."`
@@ -95,6 +98,10 @@
 	if s.RetryShare < 0 || s.RetryShare > 0.1 {
 		problems.Addf("retry-share", "must be 0 to 0.1")
 	}
+	// The negation also finds NaN.
+	if !(s.SecondSendShare >= 0 && s.SecondSendShare <= hedger.MaxShare) {
+		problems.Addf("second-send-share", "must be 0 to %g", hedger.MaxShare)
+	}
 	if s.MaxTimeout <= 0 || s.MaxTimeout > time.Minute {
 		problems.Addf("max-timeout", "must be above 0 and at most 60s")
 	}
@@ -125,7 +132,7 @@
 			Slots:  granter.Settings{Lease: s.Lease, ViewSpread: s.ViewSpread},
 			Queues: queuer.Settings{PerClientAccount: s.QueuePerAccount, Total: s.QueueTotal},
 		},
-		RetryShare: s.RetryShare,
+		Attempts:   dispatcher.Settings{RetryShare: s.RetryShare, SecondSendShare: s.SecondSendShare},
 		DrainDelay: s.DrainDelay,
 	}
 }
--- a/gateway/models/messenger/messenger.go
+++ b/gateway/models/messenger/messenger.go
@@ -156,6 +156,9 @@
 	// be using; owners prefer gateways with a low total.
 	Total  int    `cbor:"total"`
 	Report Report `cbor:"report,omitempty"`
+	// Spare is set if the slots beyond those held are for second attempts. They are granted only
+	// while no other gateway waits for a slot of the backend server.
+	Spare bool `cbor:"spare,omitempty"`
 }
 
 // Report counts results since the last request.
@@ -163,7 +166,8 @@
 	Answers  int `cbor:"answers,omitempty"`
 	Sheds    int `cbor:"sheds,omitempty"`
 	Failures int `cbor:"failures,omitempty"`
-	// Latency is the sum over the answers.
+	// Latency is the sum over the answers and over the attempts that were cancelled because the
+	// second attempt of their request was answered first.
 	Latency time.Duration `cbor:"latency,omitempty"`
 }
 
@@ -204,4 +208,6 @@
 	// Waiting is set by a new owner that does not grant slots yet. Slots that the
 	// former owner granted stay usable until their lease ends.
 	Waiting bool `cbor:"waiting,omitempty"`
+	// Contended is set while another gateway waits for a slot of the backend server.
+	Contended bool `cbor:"contended,omitempty"`
 }
--- a/gateway/models/recorder/outcome.go
+++ b/gateway/models/recorder/outcome.go
@@ -45,7 +45,7 @@
 // backend server, or that the backend server itself reported as not run.
 type RefusedNotRun struct {
 	Reason Reason
-	// RetryAfter is a hint for the caller; 0 means none.
+	// RetryAfter is the estimate of when the request could run; 0 means unknown.
 	RetryAfter time.Duration
 }
 
@@ -60,6 +60,30 @@
 	MayHaveRun bool
 }
 
+// MayHaveRun reports whether the request with this outcome may have reached a backend server.
+func MayHaveRun(outcome Outcome) bool {
+	switch o := outcome.(type) {
+	case RefusedNotRun:
+		return false
+	case Cancelled:
+		return o.MayHaveRun
+	default:
+		return true
+	}
+}
+
+// Join returns the outcome of a request whose attempts had the outcomes earlier, which may be nil,
+// and later. If either attempt may have run, so may the request.
+func Join(earlier, later Outcome) Outcome {
+	if earlier == nil || !MayHaveRun(earlier) || MayHaveRun(later) {
+		return later
+	}
+	if _, ok := later.(Cancelled); ok {
+		return Cancelled{MayHaveRun: true}
+	}
+	return earlier
+}
+
 func (Completed) isOutcome()        {}
 func (RefusedNotRun) isOutcome()    {}
 func (FailedMayHaveRun) isOutcome() {}
--- a/gateway/models/recorder/problem.go
+++ b/gateway/models/recorder/problem.go
@@ -25,7 +25,7 @@
 	Detail  string `json:"detail"`
 	Outcome string `json:"outcome"`
 	Reason  Reason `json:"reason"`
-	// RetryAfter is sent in the header Retry-After, rounded up to whole seconds.
+	// RetryAfter is sent in the header Retry-After, rounded up to whole seconds; 0 means none.
 	RetryAfter time.Duration `json:"-"`
 }
 
@@ -50,8 +50,9 @@
 }
 
 // NewProblem returns the problem document for an outcome. ok is false for a
-// completed outcome whose response is available.
-func NewProblem(outcome Outcome) (problem Problem, ok bool) {
+// completed outcome whose response is available. The Retry-After of a refusal is
+// spread with random, which returns a number from 0 to n-1.
+func NewProblem(outcome Outcome, random func(n int64) int64) (problem Problem, ok bool) {
 	switch o := outcome.(type) {
 	case Completed:
 		if !o.Response.NotKept {
@@ -59,8 +60,10 @@
 		}
 		return newProblem(ReasonNotKept, ValueCompleted, 0), true
 	case RefusedNotRun:
-		p := newProblem(o.Reason, ValueNotRun, o.RetryAfter)
-		return p, true
+		if isPermanent(o.Reason) {
+			return newProblem(o.Reason, ValueNotRun, 0), true
+		}
+		return newProblem(o.Reason, ValueNotRun, SpreadRetryAfter(o.RetryAfter, random)), true
 	case FailedMayHaveRun:
 		return newProblem(o.Reason, ValueMayHaveRun, 0), true
 	case Cancelled:
--- a/gateway/routers/cluster_test.go
+++ b/gateway/routers/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/redwingledge/redwingledge/gateway/models/viewer"
 	"github.com/redwingledge/redwingledge/gateway/routers"
 	"github.com/redwingledge/redwingledge/gateway/services/claimer"
+	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
 	"github.com/redwingledge/redwingledge/gateway/services/granter"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/gateway/services/scheduler"
@@ -148,7 +149,7 @@
 			Slots:  granter.Settings{Lease: 500 * time.Millisecond, ViewSpread: 100 * time.Millisecond},
 			Queues: queuer.Settings{PerClientAccount: 100, Total: 1000},
 		},
-		RetryShare: 0.1, DrainDelay: drainDelay,
+		Attempts: dispatcher.Settings{RetryShare: 0.1}, DrainDelay: drainDelay,
 		Source: src, Clock: timer.NewSystem(), Counters: counters, Readiness: new(reporter.Readiness),
 		Registry: registrar.NewRegistry(), Logger: log.Discard(),
 	}
@@ -157,6 +158,11 @@
 // newCluster starts gateways in one data centre over loopback and waits until
 // they accept keys.
 func newCluster(t *testing.T, gateways int, backends ...*backend) *cluster {
+	t.Helper()
+	return newClusterWith(t, 0, gateways, backends...)
+}
+
+func newClusterWith(t *testing.T, secondSendShare float64, gateways int, backends ...*backend) *cluster {
 	t.Helper()
 	c := &cluster{source: &source{changed: make(chan struct{})}}
 	c.view = viewer.View{Services: []string{"orders"}}
@@ -166,12 +172,19 @@
 	for i := range gateways {
 		name := fmt.Sprintf("gw-%d", i)
 		counters := reporter.NewCounters()
-		g, err := routers.NewGateway(config(name, c.source, counters))
+		settings := config(name, c.source, counters)
+		settings.Attempts.SecondSendShare = secondSendShare
+		g, err := routers.NewGateway(settings)
 		require.NoError(t, err)
 		g.Start()
 		stopped, cancel := context.WithCancel(context.Background())
 		cancel()
 		t.Cleanup(func() { _ = g.Stop(stopped) })
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Logf("counters of %s: %s", name, counters)
+			}
+		})
 		c.gateways, c.counters = append(c.gateways, g), append(c.counters, counters)
 		c.view.Gateways = append(c.view.Gateways, viewer.Gateway{Name: name, DataCentre: "a", Address: g.PeerAddr()})
 	}
--- a/gateway/routers/gateway.go
+++ b/gateway/routers/gateway.go
@@ -30,13 +30,13 @@
 
 // Config contains the settings and dependencies of a Gateway.
 type Config struct {
-	Name       string
-	HTTP       Settings
-	Peer       netip.AddrPort
-	TLS        *tls.Config
-	Claims     claimer.Settings
-	Slots      scheduler.Settings
-	RetryShare float64
+	Name     string
+	HTTP     Settings
+	Peer     netip.AddrPort
+	TLS      *tls.Config
+	Claims   claimer.Settings
+	Slots    scheduler.Settings
+	Attempts dispatcher.Settings
 	// DrainDelay is the time at a stop during which requests are still accepted,
 	// while the fabric learns that the gateway is not ready.
 	DrainDelay time.Duration
@@ -70,7 +70,7 @@
 	g.client = NewPeerClient(config.TLS, g.watcher.View)
 	g.claimer = claimer.NewService(claimer.New(config.Claims, config.Clock.Now(), rng()), config.Clock, g.client)
 	g.scheduler = scheduler.NewService(scheduler.New(config.Slots, rng()), config.Clock, g.client)
-	g.dispatcher = dispatcher.New(g.scheduler, config.Clock, config.Counters, config.RetryShare)
+	g.dispatcher = dispatcher.New(g.scheduler, config.Attempts, config.Clock, config.Counters, config.Logger)
 	var err error
 	if g.peer, err = ListenPeer(config.Peer, config.TLS, g.claimer, g.scheduler); err != nil {
 		return nil, err
@@ -110,6 +110,9 @@
 	g.watcher.Run()
 	go g.logFailure("peer server", g.peer.Serve)
 	go g.logFailure("HTTP server", g.server.Serve)
+	if share := g.config.Attempts.SecondSendShare; share > 0 {
+		g.config.Logger.Info("second sends are on", "share", share)
+	}
 	g.config.Logger.Info("gateway listens", "http", g.HTTPAddr(), "peer", g.PeerAddr())
 }
 
--- a/gateway/routers/server.go
+++ b/gateway/routers/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -199,7 +200,7 @@
 // reply sends a stored response or a problem document.
 func (s *Server) reply(w http.ResponseWriter, outcome recorder.Outcome) {
 	s.countOutcome(outcome)
-	if problem, ok := recorder.NewProblem(outcome); ok {
+	if problem, ok := recorder.NewProblem(outcome, rand.Int64N); ok {
 		problem.Write(w)
 		return
 	}
@@ -230,7 +231,7 @@
 }
 
 func (s *Server) replyMalformed(w http.ResponseWriter, err error) {
-	problem, _ := recorder.NewProblem(recorder.RefusedNotRun{Reason: recorder.ReasonBadRequest})
+	problem, _ := recorder.NewProblem(recorder.RefusedNotRun{Reason: recorder.ReasonBadRequest}, rand.Int64N)
 	problem.Detail = err.Error()
 	if errors.Is(err, errBodyTooLarge) {
 		problem.Status, problem.Title = http.StatusRequestEntityTooLarge, http.StatusText(http.StatusRequestEntityTooLarge)
--- a/gateway/services/dispatcher/correlation_test.go
+++ b/gateway/services/dispatcher/correlation_test.go
@@ -18,18 +18,38 @@
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
 	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
 	"github.com/redwingledge/redwingledge/gateway/services/leaseholder"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
-// fixedSlots is a Slots that always provides a slot of the same backend server.
-type fixedSlots struct{ address netip.AddrPort }
+// fixedSlots is a Slots that always provides a slot of the first backend server, or of the second
+// one for retries and second attempts.
+type fixedSlots struct {
+	addresses        [2]netip.AddrPort
+	inUse, overtaken atomic.Int64
+}
+
+func (s *fixedSlots) Acquire(_ context.Context, _, _ string, _, _ time.Time, retry bool) (leaseholder.Slot, error) {
+	if retry {
+		return s.AcquireSecond(context.Background(), announcer.ID{})
+	}
+	s.inUse.Add(1)
+	return leaseholder.Slot{Address: s.addresses[0], Until: time.Now().Add(time.Minute)}, nil
+}
 
-func (s fixedSlots) Acquire(context.Context, string, string, time.Time, time.Time, bool) (leaseholder.Slot, error) {
-	return leaseholder.Slot{Address: s.address, Until: time.Now().Add(time.Minute)}, nil
+func (s *fixedSlots) AcquireSecond(context.Context, announcer.ID) (leaseholder.Slot, error) {
+	s.inUse.Add(1)
+	return leaseholder.Slot{Address: s.addresses[1], Until: time.Now().Add(time.Minute)}, nil
 }
 
-func (fixedSlots) Return(leaseholder.Slot, leaseholder.Result, time.Duration) {}
+func (s *fixedSlots) Return(_ leaseholder.Slot, result leaseholder.Result, _ time.Duration) {
+	if result == leaseholder.ResultOvertaken {
+		s.overtaken.Add(1)
+	}
+	s.inUse.Add(-1)
+}
 
 // rawServer writes raw bytes to its connections, so that tests can send responses that net/http
 // would not.
@@ -103,8 +123,9 @@
 // dispatch sends requests one after the other and returns the outcomes and bodies.
 func dispatch(t *testing.T, s *rawServer, method string, count int) (outcomes []recorder.Outcome, bodies []string) {
 	t.Helper()
-	slots := fixedSlots{address: netip.MustParseAddrPort(s.listener.Addr().String())}
-	d := dispatcher.New(slots, timer.NewSystem(), reporter.NewCounters(), 1)
+	address := netip.MustParseAddrPort(s.listener.Addr().String())
+	slots := &fixedSlots{addresses: [2]netip.AddrPort{address, address}}
+	d := dispatcher.New(slots, dispatcher.Settings{RetryShare: 1}, timer.NewSystem(), reporter.NewCounters(), log.Discard())
 	t.Cleanup(d.Close)
 	for i := range count {
 		now, w := time.Now(), httptest.NewRecorder()
--- a/gateway/services/dispatcher/pool.go
+++ b/gateway/services/dispatcher/pool.go
@@ -13,6 +13,9 @@
 	// dialTimeout limits the time to open a connection. It is several times the round-trip time
 	// between two data centres.
 	dialTimeout = time.Second
+	// maxDialDelay is how much later than dialTimeout a failed attempt to connect may end while
+	// this process runs. The timers of a running process end within a few milliseconds.
+	maxDialDelay = 100 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept. A connection whose peer no longer
 	// answers is detected only when it is used.
 	idleTimeout = 5 * time.Second
--- a/gateway/services/dispatcher/responder.go
+++ b/gateway/services/dispatcher/responder.go
@@ -32,11 +32,11 @@
 
 // forwardResponse copies the response to the caller.
 func (d *Dispatcher) forwardResponse(ctx context.Context, w http.ResponseWriter, a attempt, keepLimit int, onAbort func(recorder.Outcome)) recorder.Outcome {
-	readCtx, stopReading := context.WithCancel(ctx)
-	defer stopReading()
-	chunks := make(chan chunk, chunkCount)
-	go d.readBody(readCtx, a, chunks)
-
+	if a.body == nil {
+		a.body = d.startReading(ctx, a)
+	}
+	defer a.body.stop()
+	chunks := a.body.chunks
 	first := receiveChunk(ctx, chunks)
 	if first.err != nil && !errors.Is(first.err, io.EOF) {
 		return d.bodyFailureOutcome(ctx)
@@ -93,17 +93,47 @@
 	}
 }
 
+// bodyReader is a response body that is read ahead of the caller.
+type bodyReader struct {
+	chunks chan chunk
+	// ready is closed once the body has been read to its end or the chunks fill the buffer. err
+	// is then set in the former case, and is io.EOF if the body is complete.
+	ready chan struct{}
+	err   error
+	// stop ends reading and returns the slot.
+	stop context.CancelFunc
+}
+
+// startReading starts to read the response body.
+func (d *Dispatcher) startReading(ctx context.Context, a attempt) *bodyReader {
+	ctx, stop := context.WithCancel(ctx)
+	r := &bodyReader{chunks: make(chan chunk, chunkCount), ready: make(chan struct{}), stop: stop}
+	go d.readBody(ctx, a, r)
+	return r
+}
+
 // readBody reads the response body, returns the slot, and closes the idle connections to a
 // backend server that failed during the response.
-func (d *Dispatcher) readBody(ctx context.Context, a attempt, chunks chan<- chunk) {
+func (d *Dispatcher) readBody(ctx context.Context, a attempt, r *bodyReader) {
 	latency := d.clock.Now().Sub(a.started)
 	result := leaseholder.ResultAnswered
 	if a.response.StatusCode == http.StatusServiceUnavailable {
 		result = leaseholder.ResultShed
 	}
-	defer close(chunks)
+	isReady := false
+	setReady := func(err error) {
+		if !isReady {
+			isReady, r.err = true, err
+			close(r.ready)
+		}
+	}
+	defer close(r.chunks)
 	defer func() {
 		_ = a.response.Body.Close()
+		if result == leaseholder.ResultUnused && isOvertaken(ctx) {
+			d.returnOvertaken(a.slot, a.isSecond, a.started)
+			return
+		}
 		d.slots.Return(a.slot, result, latency)
 	}()
 	for {
@@ -117,11 +147,15 @@
 			}
 		}
 		select {
-		case chunks <- chunk{data: buf[:n], err: err}:
+		case r.chunks <- chunk{data: buf[:n], err: err}:
 		case <-ctx.Done():
 			result = leaseholder.ResultUnused
+			setReady(ctx.Err())
 			return
 		}
+		if err != nil || len(r.chunks) == chunkCount {
+			setReady(err)
+		}
 		if err != nil {
 			return
 		}
--- a/gateway/services/granter/granter.go
+++ b/gateway/services/granter/granter.go
@@ -245,11 +245,14 @@
 		return messenger.Grant{ID: d.ID, Waiting: true}
 	}
 	a.unmet, a.requestedAt, a.total = max(0, d.Wanted-held), now, d.Total
-	others, waitingBefore, shouldYield := m.countOthers(now, srv, from)
+	others, waitingBefore, shouldYield, contended := m.countOthers(now, srv, from)
 	limit := 0
 	if srv.accepts {
 		limit = srv.limiter.Limit(now)
 	}
+	if d.Spare && contended {
+		d.Wanted = min(d.Wanted, held)
+	}
 	free := limit - others - held
 	slots := min(held, d.Wanted)
 	switch {
@@ -262,14 +265,18 @@
 		a.heldSince = now
 	}
 	a.unmet = max(0, d.Wanted-slots)
+	if d.Spare {
+		// Second attempts do not wait, so no other gateway yields a slot to them.
+		a.unmet = 0
+	}
 	a.held = max(held, slots)
-	return messenger.Grant{ID: d.ID, Slots: slots, Lease: m.settings.Lease}
+	return messenger.Grant{ID: d.ID, Slots: slots, Lease: m.settings.Lease, Contended: contended}
 }
 
 // countOthers returns the number of slots leased to other gateways, the number of waiting
-// gateways that hold fewer slots of the service, and whether this gateway should yield a slot
-// to one of them.
-func (m *Machine) countOthers(now time.Time, srv *server, from string) (held, waitingBefore int, shouldYield bool) {
+// gateways that hold fewer slots of the service, whether this gateway should yield a slot to
+// one of them, and whether any other gateway waits.
+func (m *Machine) countOthers(now time.Time, srv *server, from string) (held, waitingBefore int, shouldYield, contended bool) {
 	own := srv.allocations[from].total
 	for name, a := range srv.allocations {
 		if name == from {
@@ -285,6 +292,7 @@
 			}
 			continue
 		}
+		contended = true
 		if a.total < own {
 			waitingBefore++
 		}
@@ -297,7 +305,7 @@
 			shouldYield = true
 		}
 	}
-	return held, waitingBefore, shouldYield
+	return held, waitingBefore, shouldYield, contended
 }
 
 func (m *Machine) isLocal(gateway string, srv *server) bool {
--- a/gateway/services/leaseholder/leaseholder.go
+++ b/gateway/services/leaseholder/leaseholder.go
@@ -28,6 +28,10 @@
 	// the owner can pass it on to a gateway that waits. Leases shorter than four times this are
 	// renewed after a quarter of their duration.
 	renewalInterval = 250 * time.Millisecond
+	// contentionTime is how long an owner's word that another gateway waits for a slot counts. An
+	// owner counts a gateway as waiting for 60 ms, and one that is refused asks again after at most
+	// 40 ms.
+	contentionTime = 100 * time.Millisecond
 )
 
 // Slot is the permission to run one request on a backend server.
@@ -50,6 +54,9 @@
 	ResultShed
 	// ResultFailed means that the connection failed.
 	ResultFailed
+	// ResultOvertaken means that the request was cancelled because its second attempt was answered
+	// first.
+	ResultOvertaken
 	// ResultUnused means that the slot was not used, or that the caller cancelled the request.
 	ResultUnused
 )
@@ -63,7 +70,10 @@
 	// byService has the backend servers of each service, sorted by host name.
 	byService map[string][]*server
 	nextIndex map[string]int
-	owners    map[string]*owner
+	// contendedUntil is the time until which slots of a service count as wanted by other
+	// gateways.
+	contendedUntil map[string]time.Time
+	owners         map[string]*owner
 	// epoch distinguishes the requests of this process from those of its predecessors, and
 	// sequence numbers the requests of this process.
 	epoch    uint64
@@ -83,7 +93,9 @@
 	idleSince   time.Time
 	nextRequest time.Time
 	wantsMore   bool
-	report      messenger.Report
+	// wantsSpare is set if the slot that wantsMore asks for is for a second attempt.
+	wantsSpare bool
+	report     messenger.Report
 	// isUrgent is set if a shed or failed request must be reported to the owner at once.
 	isUrgent   bool
 	lastChoice uint64
@@ -106,7 +118,7 @@
 	return &Leases{
 		self: self, lease: lease, rng: rng, epoch: rng.Uint64(),
 		servers: make(map[announcer.ID]*server), byService: make(map[string][]*server),
-		nextIndex: make(map[string]int), owners: make(map[string]*owner),
+		nextIndex: make(map[string]int), contendedUntil: make(map[string]time.Time), owners: make(map[string]*owner),
 	}
 }
 
@@ -150,9 +162,14 @@
 // Take takes a free slot of the service. It prefers backend servers in the own data centre, and
 // among those the one chosen least recently.
 func (l *Leases) Take(now time.Time, service string) (Slot, bool) {
+	return l.TakeOther(now, service, announcer.ID{})
+}
+
+// TakeOther is like Take, but does not take a slot of the given backend server.
+func (l *Leases) TakeOther(now time.Time, service string, excluded announcer.ID) (Slot, bool) {
 	var best *server
 	for _, srv := range l.byService[service] {
-		if !srv.accepts || srv.inUse >= srv.leased || !now.Before(srv.leasedUntil) {
+		if srv.record.ID == excluded || !srv.accepts || srv.inUse >= srv.leased || !now.Before(srv.leasedUntil) {
 			continue
 		}
 		if best == nil || (srv.local && !best.local) || (srv.local == best.local && srv.lastChoice < best.lastChoice) {
@@ -168,7 +185,14 @@
 	return Slot{ID: best.record.ID, Address: best.record.Address, Incarnation: best.record.Incarnation, Until: best.leasedUntil}, true
 }
 
-// Return releases a slot and records its result. The latency counts for answered requests only.
+// IsContended reports whether an owner has lately told that another gateway waits for a slot of
+// the service.
+func (l *Leases) IsContended(now time.Time, service string) bool {
+	return now.Before(l.contendedUntil[service])
+}
+
+// Return releases a slot and records its result. The latency counts for answered and overtaken
+// requests only.
 func (l *Leases) Return(now time.Time, slot Slot, result Result, latency time.Duration) {
 	srv := l.servers[slot.ID]
 	if srv == nil {
@@ -187,6 +211,8 @@
 		srv.report.Sheds++
 	case ResultFailed:
 		srv.report.Failures++
+	case ResultOvertaken:
+		srv.report.Latency += latency
 	case ResultUnused:
 	}
 	if result == ResultShed || result == ResultFailed {
--- a/gateway/services/leaseholder/requests.go
+++ b/gateway/services/leaseholder/requests.go
@@ -15,8 +15,10 @@
 }
 
 // DueRequests returns the slot requests that are due, at most one for each owner. The argument
-// waiting is the number of requests of each service that wait for a slot.
-func (l *Leases) DueRequests(now time.Time, waiting map[string]int) []OutgoingRequest {
+// waiting is the number of requests of each service that wait for a slot, and spare is the number
+// of their second attempts that do. Slots for second attempts are only requested for services
+// without waiting requests.
+func (l *Leases) DueRequests(now time.Time, waiting, spare map[string]int) []OutgoingRequest {
 	services := make([]string, 0, len(l.byService))
 	for service := range l.byService {
 		services = append(services, service)
@@ -24,6 +26,9 @@
 	slices.Sort(services)
 	for _, service := range services {
 		l.chooseServersToAsk(now, service, waiting[service])
+		if waiting[service] == 0 {
+			l.chooseSpareServers(now, service, spare[service])
+		}
 	}
 	demands := make(map[string][]messenger.Demand)
 	var owners []string
@@ -34,7 +39,7 @@
 		}
 		for _, srv := range l.byService[service] {
 			d, due := l.demand(now, srv, waiting[service])
-			d.Total = total
+			d.Total, d.Spare = total, srv.wantsSpare
 			if !due || l.isOutstanding(now, srv.owner) {
 				continue
 			}
@@ -67,12 +72,18 @@
 	servers := l.byService[service]
 	free := 0
 	for _, srv := range servers {
-		srv.wantsMore = false
+		srv.wantsMore, srv.wantsSpare = false, false
 		if srv.accepts && now.Before(srv.leasedUntil) {
 			free += max(0, srv.leased-srv.inUse)
 		}
 	}
-	need -= free
+	l.markServers(service, need-free, func(srv *server) bool { return l.canAsk(now, srv) })
+}
+
+// markServers marks up to need backend servers that can be asked, those in the own data centre
+// first, starting after the last one marked.
+func (l *Leases) markServers(service string, need int, isAskable func(*server) bool) {
+	servers := l.byService[service]
 	for _, local := range []bool{true, false} {
 		start := l.nextIndex[service]
 		for i := range servers {
@@ -81,7 +92,7 @@
 			if need <= 0 {
 				return
 			}
-			if srv.local != local || !srv.accepts || srv.owner == "" || now.Before(srv.nextRequest) || l.held(now, srv) >= srv.record.Slots {
+			if srv.local != local || !isAskable(srv) {
 				continue
 			}
 			srv.wantsMore = true
@@ -91,6 +102,22 @@
 	}
 }
 
+// canAsk reports whether the owner of a backend server may be asked for another slot now.
+func (l *Leases) canAsk(now time.Time, srv *server) bool {
+	return srv.accepts && srv.owner != "" && !now.Before(srv.nextRequest) && l.held(now, srv) < srv.record.Slots
+}
+
+// chooseSpareServers marks the backend servers to ask for one slot for a second attempt, like
+// chooseServersToAsk. It leaves out those that this gateway is using, since the first attempt runs
+// at one of them.
+func (l *Leases) chooseSpareServers(now time.Time, service string, need int) {
+	l.markServers(service, need, func(srv *server) bool {
+		isAskable := srv.inUse == 0 && l.canAsk(now, srv) && !l.isOutstanding(now, srv.owner)
+		srv.wantsSpare = isAskable
+		return isAskable
+	})
+}
+
 // held returns the number of slots that this gateway may be using and that the owner must
 // count.
 func (l *Leases) held(now time.Time, srv *server) int {
@@ -138,6 +165,9 @@
 }
 
 func (l *Leases) apply(now, sentAt time.Time, srv *server, g messenger.Grant) {
+	if g.Contended {
+		l.contendedUntil[srv.record.ID.Service] = now.Add(contentionTime)
+	}
 	if srv.wantsMore && (g.Waiting || g.Slots <= srv.inUse) {
 		srv.nextRequest = now.Add(l.retryDelay())
 	}
--- a/gateway/services/limiter/limiter.go
+++ b/gateway/services/limiter/limiter.go
@@ -37,8 +37,10 @@
 	limit              int
 	consecutiveAnswers int
 	smoothedLatency    time.Duration
-	backoff            time.Duration
-	backoffUntil       time.Time
+	// unanswered is the time of cancelled attempts since the last answer.
+	unanswered   time.Duration
+	backoff      time.Duration
+	backoffUntil time.Time
 }
 
 // New returns a Limiter for a backend server that has just started.
@@ -60,16 +62,11 @@
 		l.decrease(now, report.Answers == 0)
 		return
 	}
-	if report.Answers == 0 {
+	if report.Answers == 0 && report.Latency == 0 {
 		return
 	}
-	l.backoff = minBackoff
-	mean := report.Latency / time.Duration(report.Answers)
-	if l.smoothedLatency == 0 {
-		l.smoothedLatency = mean
-	}
-	l.smoothedLatency += (mean - l.smoothedLatency) / latencySmoothing
-	if serviceLatency > 0 && float64(l.smoothedLatency) > coldFactor*float64(serviceLatency) {
+	smoothed := l.observeLatency(report)
+	if serviceLatency > 0 && float64(smoothed) > coldFactor*float64(serviceLatency) {
 		l.limit = max(1, l.limit/2)
 		l.consecutiveAnswers = 0
 		return
@@ -81,6 +78,22 @@
 	}
 }
 
+// observeLatency adds a report without failures to the average latency, and returns the average.
+// The time of cancelled attempts counts towards the next answer: leaving it out would hide a slow
+// backend server. While no answer arrives, the returned average includes it for the time being.
+func (l *Limiter) observeLatency(report messenger.Report) time.Duration {
+	l.unanswered += report.Latency
+	mean := l.unanswered / time.Duration(max(1, report.Answers))
+	smoothed := l.smoothedLatency + (mean-l.smoothedLatency)/latencySmoothing
+	if l.smoothedLatency == 0 {
+		smoothed = mean
+	}
+	if report.Answers > 0 {
+		l.smoothedLatency, l.unanswered, l.backoff = smoothed, 0, minBackoff
+	}
+	return smoothed
+}
+
 func (l *Limiter) decrease(now time.Time, noAnswers bool) {
 	wasAtMinimum := l.limit == 1
 	l.limit = max(1, l.limit/2)
--- a/gateway/services/scheduler/baseline_test.go
+++ b/gateway/services/scheduler/baseline_test.go
@@ -42,7 +42,7 @@
 	case SlotReturned:
 		b.open[in.Slot.ID]--
 	case Tick:
-		out = refuseAll(b.queue.Expire(now))
+		out = refuseAll(b.queue, b.queue.Expire(now))
 	default:
 	}
 	for b.queue.Len() > 0 {
@@ -51,7 +51,7 @@
 			return out
 		}
 		item, expired, ok := b.queue.Pop(now)
-		out = append(out, refuseAll(expired)...)
+		out = append(out, refuseAll(b.queue, expired)...)
 		if !ok {
 			return out
 		}
--- a/gateway/services/scheduler/messages.go
+++ b/gateway/services/scheduler/messages.go
@@ -9,6 +9,7 @@
 	"github.com/redwingledge/redwingledge/gateway/models/messenger"
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
 	"github.com/redwingledge/redwingledge/gateway/models/viewer"
+	"github.com/redwingledge/redwingledge/gateway/services/hedger"
 	"github.com/redwingledge/redwingledge/gateway/services/leaseholder"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
@@ -28,8 +29,16 @@
 	Retry bool
 }
 
-// RequestCancelled removes a waiting request whose caller no longer waits. It has no effect on a
-// request that has started.
+// SecondSlotRequested asks for a slot for the second attempt of a request, at another backend
+// server than the first. It is answered with Start or Withhold within secondSlotTimeout.
+type SecondSlotRequested struct {
+	Request uint64
+	// First is the backend server of the first attempt.
+	First announcer.ID
+}
+
+// RequestCancelled removes a waiting request, or the second attempt of one, whose caller no longer
+// waits. It has no effect on one that has started.
 type RequestCancelled struct {
 	Service string
 	Request uint64
@@ -68,15 +77,16 @@
 // Tick is the periodic input, due every TickPeriod.
 type Tick struct{}
 
-func (ViewChanged) isInput()      {}
-func (RequestQueued) isInput()    {}
-func (RequestCancelled) isInput() {}
-func (SlotReturned) isInput()     {}
-func (GrantRequested) isInput()   {}
-func (GrantAnswered) isInput()    {}
-func (GrantFailed) isInput()      {}
-func (Leave) isInput()            {}
-func (Tick) isInput()             {}
+func (ViewChanged) isInput()         {}
+func (RequestQueued) isInput()       {}
+func (SecondSlotRequested) isInput() {}
+func (RequestCancelled) isInput()    {}
+func (SlotReturned) isInput()        {}
+func (GrantRequested) isInput()      {}
+func (GrantAnswered) isInput()       {}
+func (GrantFailed) isInput()         {}
+func (Leave) isInput()               {}
+func (Tick) isInput()                {}
 
 // Output is an action that the Machine requests.
 type Output interface{ isOutput() }
@@ -94,6 +104,12 @@
 	RetryAfter time.Duration
 }
 
+// Withhold ends a second attempt that was not sent.
+type Withhold struct {
+	Request uint64
+	Reason  hedger.Reason
+}
+
 // SendGrantRequest sends a slot request or a probe to another gateway.
 type SendGrantRequest struct {
 	To      string
@@ -108,5 +124,6 @@
 
 func (Start) isOutput()            {}
 func (Refuse) isOutput()           {}
+func (Withhold) isOutput()         {}
 func (SendGrantRequest) isOutput() {}
 func (AnswerGrant) isOutput()      {}
--- a/gateway/services/scheduler/scheduler.go
+++ b/gateway/services/scheduler/scheduler.go
@@ -43,7 +43,9 @@
 	services          []string
 	noBackendSince    map[string]time.Time
 	lastGrantRequests time.Time
-	prober            *prober.Machine
+	// seconds are the second attempts that have no slot yet.
+	seconds []pendingSecond
+	prober  *prober.Machine
 	// appliedVersion and appliedGateways identify the view that was last passed to the leases
 	// and the granter.
 	appliedVersion  uint64
@@ -78,7 +80,10 @@
 		m.applyView(now)
 	case RequestQueued:
 		out = m.enqueue(now, in)
+	case SecondSlotRequested:
+		m.seconds = append(m.seconds, pendingSecond{SecondSlotRequested: in, expiry: now.Add(secondSlotTimeout)})
 	case RequestCancelled:
+		m.cancelSecond(in.Request)
 		if q := m.queues[in.Service]; q != nil {
 			q.Remove(in.Request)
 		}
@@ -102,12 +107,14 @@
 		out = append(m.probe(now), m.expire(now)...)
 	}
 	out = append(out, m.startRequests(now)...)
+	out = append(out, m.startSeconds(now)...)
 	if !m.areGrantRequestsDue(now, input) {
 		return out
 	}
 	m.lastGrantRequests = now
 	out = append(out, m.requestGrants(now)...)
-	return append(out, m.startRequests(now)...)
+	out = append(out, m.startRequests(now)...)
+	return append(out, m.startSeconds(now)...)
 }
 
 // areGrantRequestsDue reports whether to check for due slot requests: at each tick, and between
@@ -120,7 +127,7 @@
 	if now.Sub(m.lastGrantRequests) < grantRequestPeriod {
 		return false
 	}
-	return slices.ContainsFunc(m.services, func(service string) bool { return m.queues[service].Len() > 0 })
+	return len(m.seconds) > 0 || slices.ContainsFunc(m.services, func(service string) bool { return m.queues[service].Len() > 0 })
 }
 
 // probe sends the probes that are due and applies changes in which gateways are considered
@@ -199,7 +206,7 @@
 				break
 			}
 			item, expired, ok := q.Pop(now)
-			out = append(out, refuseAll(expired)...)
+			out = append(out, refuseAll(q, expired)...)
 			if !ok {
 				m.leases.Return(now, slot, leaseholder.ResultUnused, 0)
 				break
@@ -218,7 +225,7 @@
 		waiting[service] = m.queues[service].Len()
 	}
 	var out []Output
-	for _, outgoing := range m.leases.DueRequests(now, waiting) {
+	for _, outgoing := range m.leases.DueRequests(now, waiting, m.countSeconds()) {
 		if outgoing.To == m.settings.Self {
 			m.leases.HandleAnswer(now, outgoing.To, outgoing.Request.Sequence, m.answerGrantRequest(now, outgoing.Request))
 			continue
@@ -234,7 +241,7 @@
 	var out []Output
 	for _, service := range m.services {
 		q := m.queues[service]
-		out = append(out, refuseAll(q.Expire(now))...)
+		out = append(out, refuseAll(q, q.Expire(now))...)
 		if m.leases.HasServers(service) || q.Len() == 0 {
 			delete(m.noBackendSince, service)
 			continue
@@ -258,10 +265,12 @@
 	return out
 }
 
-func refuseAll(items []queuer.Item) []Output {
+// refuseAll refuses requests that can no longer start in time. They may return when a new request
+// of their client account would start.
+func refuseAll(q *queuer.Queue, items []queuer.Item) []Output {
 	out := make([]Output, 0, len(items))
 	for _, item := range items {
-		out = append(out, Refuse{Request: item.Request, Reason: recorder.ReasonDeadline, RetryAfter: time.Second})
+		out = append(out, Refuse{Request: item.Request, Reason: recorder.ReasonDeadline, RetryAfter: q.ExpectedWait(item.ClientAccount)})
 	}
 	return out
 }
--- a/gateway/services/scheduler/service.go
+++ b/gateway/services/scheduler/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingledge/redwingledge/gateway/models/messenger"
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/gateway/services/hedger"
 	"github.com/redwingledge/redwingledge/gateway/services/leaseholder"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
@@ -36,6 +37,12 @@
 // Error returns the message of the error.
 func (e ErrRefused) Error() string { return "request refused: " + string(e.Reason) }
 
+// ErrWithheld is returned by AcquireSecond if no slot may be used for a second attempt.
+type ErrWithheld struct{ Reason hedger.Reason }
+
+// Error returns the message of the error.
+func (e ErrWithheld) Error() string { return "second attempt withheld: " + string(e.Reason) }
+
 // Service runs a Machine in one goroutine.
 type Service struct {
 	machine    *Machine
@@ -108,12 +115,7 @@
 // before its deadline, if its queue is full or if its service has no backend server, and the
 // error of ctx if that ends first.
 func (s *Service) Acquire(ctx context.Context, service, clientAccount string, arrived, deadline time.Time, retry bool) (leaseholder.Slot, error) {
-	result := make(chan Output, 1)
-	s.mu.Lock()
-	s.lastID++
-	id := s.lastID
-	s.waiters[id] = result
-	s.mu.Unlock()
+	id, result := s.addWaiter()
 	item := queuer.Item{Request: id, ClientAccount: clientAccount, Deadline: deadline, Arrived: arrived}
 	if !s.ring.TryPush(RequestQueued{Service: service, Item: item, Retry: retry}) {
 		s.removeWaiter(id)
@@ -128,11 +130,47 @@
 		s.Push(RequestCancelled{Service: service, Request: id})
 		return leaseholder.Slot{}, ctx.Err()
 	}
-	slot, err := s.toSlot(<-result)
-	if err == nil {
+	return leaseholder.Slot{}, s.giveBack(<-result, ctx.Err())
+}
+
+// AcquireSecond returns a slot for the second attempt of a request whose first attempt runs at
+// the given backend server. It waits for the answers of owners, but not for a slot to become free:
+// it returns an ErrWithheld if no slot of another backend server is free, or if requests wait for
+// slots. It returns the error of ctx if that ends first.
+func (s *Service) AcquireSecond(ctx context.Context, first announcer.ID) (leaseholder.Slot, error) {
+	id, result := s.addWaiter()
+	if !s.ring.TryPush(SecondSlotRequested{Request: id, First: first}) {
+		s.removeWaiter(id)
+		return leaseholder.Slot{}, ErrWithheld{Reason: hedger.ReasonRequestsWait}
+	}
+	select {
+	case out := <-result:
+		return s.toSlot(out)
+	case <-ctx.Done():
+	}
+	if s.removeWaiter(id) {
+		s.Push(RequestCancelled{Service: first.Service, Request: id})
+		return leaseholder.Slot{}, ctx.Err()
+	}
+	return leaseholder.Slot{}, s.giveBack(<-result, ctx.Err())
+}
+
+// giveBack returns the slot of a request whose caller no longer waits, and cause.
+func (s *Service) giveBack(out Output, cause error) error {
+	if slot, err := s.toSlot(out); err == nil {
 		s.Push(SlotReturned{Slot: slot, Result: leaseholder.ResultUnused})
 	}
-	return leaseholder.Slot{}, ctx.Err()
+	return cause
+}
+
+// addWaiter registers a request that waits for a slot.
+func (s *Service) addWaiter() (uint64, <-chan Output) {
+	result := make(chan Output, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	s.waiters[s.lastID] = result
+	return s.lastID, result
 }
 
 // Return releases a slot from Acquire.
@@ -170,6 +208,8 @@
 		return o.Slot, nil
 	case Refuse:
 		return leaseholder.Slot{}, ErrRefused{Reason: o.Reason, RetryAfter: o.RetryAfter}
+	case Withhold:
+		return leaseholder.Slot{}, ErrWithheld{Reason: o.Reason}
 	default:
 		return leaseholder.Slot{}, ErrRefused{Reason: recorder.ReasonStopping}
 	}
@@ -207,6 +247,8 @@
 		}
 	case Refuse:
 		s.resolve(out.Request, out)
+	case Withhold:
+		s.resolve(out.Request, out)
 	case AnswerGrant:
 		s.mu.Lock()
 		if call := s.grantCalls[out.Call]; call != nil {
--- a/gateway/services/scheduler/simulation_test.go
+++ b/gateway/services/scheduler/simulation_test.go
@@ -37,6 +37,13 @@
 	// dispatchDelay is the time between the choice of a slot and the dispatch.
 	dispatchDelay time.Duration
 	violation     error
+	// deadline is the time that callers allow for a request.
+	deadline time.Duration
+	// arrivals is the random source of the load. It is separate in runs that are compared request
+	// by request.
+	arrivals *rand.Rand
+	// hedging is set in simulations with second attempts.
+	hedging *hedging
 }
 
 // gateway is a simulated gateway process, which runs a Machine or a baseline.
@@ -68,6 +75,7 @@
 // execution is a request that a simulated backend server runs.
 type execution struct {
 	gateway *gateway
+	out     Start
 }
 
 type request struct {
@@ -124,10 +132,11 @@
 // data centres.
 func newSimulation(seed uint64, servers int, p policy) *simulation {
 	s := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), start: time.Unix(1000, 0), policy: p, dispatchDelay: 50 * time.Microsecond,
+		rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), start: time.Unix(1000, 0), policy: p, dispatchDelay: 50 * time.Microsecond, deadline: simDeadline,
 		servers: make(map[announcer.ID]*simServer), partitions: make(map[[2]string]time.Time), requests: make(map[uint64]*request),
 		result: result{latencies: make(map[string][]time.Duration)},
 	}
+	s.arrivals = s.rng
 	s.view.Services = []string{"orders"}
 	for i := range 8 {
 		g := &gateway{name: fmt.Sprintf("g%d", i), dataCentre: fmt.Sprintf("dc%d", i%4)}
@@ -235,6 +244,8 @@
 		}
 	case SendGrantRequest:
 		s.sendGrantRequest(g, out)
+	case Withhold:
+		s.hedging.hedgers[g].Refund()
 	case AnswerGrant:
 	}
 }
@@ -263,6 +274,10 @@
 }
 
 func (s *simulation) dispatch(g *gateway, out Start) {
+	if s.hedging != nil && s.requests[out.Request] == nil {
+		s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultUnused})
+		return
+	}
 	if !s.ignoreLease && !s.now.Before(out.Slot.Until) {
 		s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultUnused})
 		s.enqueue(g, out.Request, true)
@@ -270,6 +285,9 @@
 	}
 	srv := s.servers[out.Slot.ID]
 	sent, generation := s.now, g.generation
+	if s.hedging != nil {
+		s.hedging.dispatch(s, g, out)
+	}
 	s.schedule(s.delay(g.dataCentre, srv.record.DataCentre), nil, func() {
 		if generation == g.generation {
 			s.serve(g, srv, out, sent)
@@ -278,6 +296,9 @@
 }
 
 func (s *simulation) serve(g *gateway, srv *simServer, out Start, sent time.Time) {
+	if s.hedging.isCancelled(out) {
+		return
+	}
 	isCold := s.now.Before(srv.coldUntil)
 	slots, factor := srv.slots, 1.0
 	if isCold {
@@ -294,7 +315,10 @@
 		return
 	}
 	work := time.Duration(s.rng.ExpFloat64() * factor * float64(simServiceTime))
-	r := &execution{gateway: g}
+	if s.hedging != nil {
+		work = s.hedging.work(out)
+	}
+	r := &execution{gateway: g, out: out}
 	srv.executions[r] = true
 	s.schedule(work, nil, func() {
 		if srv.executions[r] {
@@ -320,6 +344,12 @@
 }
 
 func (s *simulation) complete(g *gateway, out Start, sent time.Time) {
+	if s.hedging.isCancelled(out) {
+		return
+	}
+	if s.hedging != nil {
+		s.hedging.finish(s, g, out)
+	}
 	if r := s.requests[out.Request]; r != nil {
 		delete(s.requests, out.Request)
 		isInTime := s.now.Before(r.deadline)
@@ -382,15 +412,15 @@
 			return
 		}
 		id++
-		r := &request{clientAccount: clientAccount, arrived: s.now, deadline: s.now.Add(simDeadline), attempts: 1}
+		r := &request{clientAccount: clientAccount, arrived: s.now, deadline: s.now.Add(s.deadline), attempts: 1}
 		s.requests[id] = r
 		s.result.retryTokens = min(10, s.result.retryTokens+0.1)
 		if s.isMeasured(r) {
 			s.result.offered++
 		}
-		request, g := id, s.gateways[s.rng.IntN(len(s.gateways))]
+		request, g := id, s.gateways[s.arrivals.IntN(len(s.gateways))]
 		s.schedule(0, g, func() { s.enqueue(g, request, false) })
-		s.schedule(time.Duration(s.rng.ExpFloat64()*float64(time.Second)/perSecond), nil, next)
+		s.schedule(time.Duration(s.arrivals.ExpFloat64()*float64(time.Second)/perSecond), nil, next)
 	}
 	s.schedule(0, nil, next)
 }
