Explain where a request would go now

Cause: operators want to know where a new flow would go, and why, without sending it. Change: rwctl where asks an entry for the verdict, the reason and the candidates; it changes no state and sends no packet.

--- a/rwctl/routers/commander/commander.go
+++ b/rwctl/routers/commander/commander.go
@@ -42,6 +42,7 @@
 	Plans          plansCommand          `cmd:"" help:"List the open plans."`
 	Watch          watchCommand          `cmd:"" help:"Show each new line of the audit trail until interrupted."`
 	Explain        explainCommand        `cmd:"" help:"Show the life of one flow or backend server from log files, without asking control."`
+	Where          whereCommand          `cmd:"" help:"Show what an entry would do with a new flow now, without asking control."`
 	Audit          auditCommand          `cmd:"" help:"Show or check the audit trail, or show a plan as the operator saw it."`
 }
 
@@ -78,12 +79,11 @@
 		fmt.Fprintln(stderr, "rwctl:", err)
 		return ExitError
 	}
-	if parsed.Command() == explainName {
-		if err := c.Explain.run(stdout); err != nil {
-			fmt.Fprintln(stderr, "rwctl:", err)
-			return ExitError
-		}
-		return ExitSuccess
+	switch parsed.Command() {
+	case explainName:
+		return finish(c.Explain.run(stdout), stderr)
+	case whereName:
+		return finish(c.Where.run(ctx, stdout, c.Output, c.Timeout), stderr)
 	}
 	s, err := newSession(ctx, &c.settings, stdout, stderr)
 	if err == nil {
@@ -97,6 +97,15 @@
 	return s.code
 }
 
+// finish prints the error, if any, of a command without a session and returns the exit code.
+func finish(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitSuccess
+	}
+	fmt.Fprintln(stderr, "rwctl:", err)
+	return exitCode(err)
+}
+
 func newSession(ctx context.Context, flags *settings, stdout, stderr io.Writer) (*session, error) {
 	token, err := flags.loadToken()
 	if err != nil {
