--- a/demo/services/demonstrator/demonstrator_test.go
+++ b/demo/services/demonstrator/demonstrator_test.go
@@ -55,6 +55,9 @@
 	t.Cleanup(func() {
 		stop, cancelStop := context.WithTimeout(context.Background(), time.Minute)
 		defer cancelStop()
+		if err := system.CheckReadiness(stop); err != nil {
+			t.Errorf("readiness: %v", err)
+		}
 		if err := system.Stop(stop); err != nil {
 			t.Errorf("stop: %v", err)
 		}
@@ -128,6 +131,23 @@
 	requireNoFailures(t, append(loads, later...))
 }
 
+// Guards against flows that break when the machine runs none of the entries for a while, and
+// against flows that cannot be opened afterwards.
+func TestAllEntriesFrozen(t *testing.T) {
+	ctx, system := start(t, 2)
+	loads, err := system.OpenAll(ctx, 26000)
+	require.NoError(t, err)
+	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+		for _, name := range system.EntryNames() {
+			require.NoError(t, system.SignalEntry(name, signal))
+		}
+		pause(t, observationTime)
+	}
+	later, err := system.OpenAll(ctx, 27000)
+	require.NoError(t, err)
+	requireNoFailures(t, append(loads, later...))
+}
+
 // Guards against flows that break when an entry is killed.
 func TestKilledEntry(t *testing.T) {
 	ctx, system := start(t, 3)
--- a/demo/services/demonstrator/scenario.go
+++ b/demo/services/demonstrator/scenario.go
@@ -133,7 +133,7 @@
 	if stats.Malformed > 0 {
 		return fmt.Errorf("%d packets from entries were malformed", stats.Malformed)
 	}
-	return nil
+	return s.CheckReadiness(ctx)
 }
 
 func dataCentre(i int) string {
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -88,6 +88,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entryProcess
+	// suspects holds the names of entries that were not ready when no entry was.
+	suspects map[string]bool
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -106,6 +108,7 @@
 		callers:   make(map[netip.Addr]*dialer.Caller),
 		backends:  make(map[announcer.ID]*backend),
 		entries:   make(map[string]*entryProcess),
+		suspects:  make(map[string]bool),
 		addresses: make(map[string]entryAddresses),
 		ctx:       background, cancel: cancel,
 	}
@@ -292,33 +295,6 @@
 	return caller
 }
 
-// checkEntries makes the fabric send packets to ready entries only, as the health checks of a
-// real fabric do.
-func (s *System) checkEntries() {
-	ticker := time.NewTicker(healthCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-s.ctx.Done():
-			return
-		}
-		s.mu.Lock()
-		entries := make([]*entryProcess, 0, len(s.entries))
-		for _, entry := range s.entries {
-			entries = append(entries, entry)
-		}
-		s.mu.Unlock()
-		var ready []netip.AddrPort
-		for _, entry := range entries {
-			if entry.IsReady(s.ctx) {
-				ready = append(ready, entry.packets)
-			}
-		}
-		s.fabric.SetEntries(ready)
-	}
-}
-
 func (s *System) chooseAddresses() error {
 	for i := range declaredEntries {
 		free, err := starter.FreeAddresses(4)
--- a/demo/services/injector/operator.go
+++ b/demo/services/injector/operator.go
@@ -13,7 +13,11 @@
 	"github.com/redwingledge/redwingledge/shared/models/operator"
 )
 
-// Exit codes of rwctl that SendOperatorRequest handles.
+// answerTimeout limits the wait for the answer to one operator's request. It is the time within
+// which replicas must converge after a fault.
+const answerTimeout = startTimeout
+
+// Exit codes of rwctl that runUntilAnswered handles.
 const (
 	exitRefused  = 2
 	exitStale    = 3
@@ -39,39 +43,50 @@
 }
 
 // SendOperatorRequest sends an operator's request and retries it with the same request ID until
-// it is answered.
+// it is answered. It returns an error after answerTimeout.
 func (c *Cluster) SendOperatorRequest(ctx context.Context, requestID string, args ...string) (operator.PlanResponse, error) {
-	args = append(args, "--request-id", requestID)
-	for {
-		stdout, code, err := c.Run(ctx, args...)
-		if code == exitNoAnswer && ctx.Err() == nil {
-			continue
-		}
-		if err != nil && code != exitRefused && code != exitStale {
-			return operator.PlanResponse{}, err
-		}
-		var answer operator.PlanResponse
-		if err := json.Unmarshal(stdout, &answer); err != nil {
-			return operator.PlanResponse{}, fmt.Errorf("read the answer: %w: %s", err, stdout)
-		}
-		return answer, nil
+	stdout, err := c.runUntilAnswered(ctx, append(args, "--request-id", requestID)...)
+	if err != nil {
+		return operator.PlanResponse{}, err
+	}
+	var answer operator.PlanResponse
+	if err := json.Unmarshal(stdout, &answer); err != nil {
+		return operator.PlanResponse{}, fmt.Errorf("read the answer: %w: %s", err, stdout)
 	}
+	return answer, nil
 }
 
-// GetStatus requests the status and retries until it is answered.
+// GetStatus requests the status and retries until it is answered. It returns an error after
+// answerTimeout.
 func (c *Cluster) GetStatus(ctx context.Context) (operator.Status, error) {
+	stdout, err := c.runUntilAnswered(ctx, "status")
+	if err != nil {
+		return operator.Status{}, err
+	}
+	var status operator.Status
+	if err := json.Unmarshal(stdout, &status); err != nil {
+		return operator.Status{}, fmt.Errorf("read the status: %w", err)
+	}
+	return status, nil
+}
+
+// runUntilAnswered runs rwctl until the leader answers, also with a refusal, and returns its
+// standard output. Its error after answerTimeout includes that of the last complete run.
+func (c *Cluster) runUntilAnswered(ctx context.Context, args ...string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	var last error
 	for {
-		stdout, code, err := c.Run(ctx, "status")
-		if code == exitNoAnswer && ctx.Err() == nil {
-			continue
-		}
-		if err != nil {
-			return operator.Status{}, err
-		}
-		var status operator.Status
-		if err := json.Unmarshal(stdout, &status); err != nil {
-			return operator.Status{}, fmt.Errorf("read the status: %w", err)
+		stdout, code, err := c.Run(ctx, args...)
+		switch {
+		case ctx.Err() != nil && err != nil:
+			return nil, fmt.Errorf("rwctl %s has no answer: %w", strings.Join(args, " "), errors.Join(ctx.Err(), last))
+		case code == exitNoAnswer:
+			last = err
+		case err != nil && code != exitRefused && code != exitStale:
+			return nil, err
+		default:
+			return stdout, nil
 		}
-		return status, nil
 	}
 }
--- a/demo/services/simulator/simulator.go
+++ b/demo/services/simulator/simulator.go
@@ -32,7 +32,7 @@
 	entries []netip.AddrPort
 	hosts   map[netip.Addr]Host
 
-	sent, delivered, malformed, unrouted atomic.Uint64
+	sent, delivered, malformed, unrouted, unready atomic.Uint64
 }
 
 // ListenFabric returns a Fabric at the address that entries send to. The seed determines the
@@ -70,7 +70,8 @@
 	f.hosts[address] = host
 }
 
-// Send sends a packet to a random entry.
+// Send sends a packet to a random entry. While no entry is ready, it drops the packet, as a real
+// fabric does, so that the sender has to send it again.
 func (f *Fabric) Send(segment framer.Segment) error {
 	inner, err := segment.Encode()
 	if err != nil {
@@ -79,7 +80,8 @@
 	f.mu.Lock()
 	if len(f.entries) == 0 {
 		f.mu.Unlock()
-		return errors.New("no entry is ready")
+		f.unready.Add(1)
+		return nil
 	}
 	entry := f.entries[f.random.IntN(len(f.entries))]
 	f.mu.Unlock()
@@ -107,14 +109,14 @@
 // Close ends Serve.
 func (f *Fabric) Close() error { return f.conn.Close() }
 
-// Stats are counts of packets.
+// Stats are counts of packets. Unready counts those that were dropped because no entry was ready.
 type Stats struct {
-	Sent, Delivered, Malformed, Unrouted uint64
+	Sent, Delivered, Malformed, Unrouted, Unready uint64
 }
 
 // Stats returns the counts so far.
 func (f *Fabric) Stats() Stats {
-	return Stats{Sent: f.sent.Load(), Delivered: f.delivered.Load(), Malformed: f.malformed.Load(), Unrouted: f.unrouted.Load()}
+	return Stats{Sent: f.sent.Load(), Delivered: f.delivered.Load(), Malformed: f.malformed.Load(), Unrouted: f.unrouted.Load(), Unready: f.unready.Load()}
 }
 
 func (f *Fabric) deliver(datagram []byte) {
--- a/demo/services/starter/starter.go
+++ b/demo/services/starter/starter.go
@@ -75,20 +75,27 @@
 
 var errEnded = errors.New("process ended")
 
-// IsReady reports whether the process answers its readiness check.
+// IsReady reports whether the process answers that it is ready.
 func (p *Process) IsReady(ctx context.Context) bool {
+	isReady, err := p.CheckReadiness(ctx)
+	return err == nil && isReady
+}
+
+// CheckReadiness returns the answer of the process to its readiness check. It returns an error if
+// there is no answer within 1 s.
+func (p *Process) CheckReadiness(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Admin.String()+"/readyz", nil)
 	if err != nil {
-		return false
+		return false, fmt.Errorf("check the readiness of %s: %w", p.Name, err)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false
+		return false, fmt.Errorf("check the readiness of %s: %w", p.Name, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode == http.StatusOK, nil
 }
 
 // Counter returns the value of a counter that the process publishes under /debug/vars.
