Limit the link of an entry by what it sends

Cause: in bursts above the capacity the links of the entries collapsed. The entry counted what it received, with 28 bytes for the headers of a datagram. On deployment R only the outgoing direction loses packets, a datagram takes 66 bytes beside its payload, and the queue of the link holds 50 ms: resets were lost, callers copied and retried, and opening packets filled the link (docs/design/outgoing-links.md). Change: the limiter follows the queue of the outgoing link exactly and charges what is sent. The lowest rank leaves room in the queue for refusals and for the higher ranks, the highest rank keeps a reserved share, and refusals are withheld where they would push out packets of open flows. Only copies of opening packets that the entry has forwarded count as loss, and only if its own queue does not explain it.

--- a/entry/routers/dispatcher/dispatcher.go
+++ b/entry/routers/dispatcher/dispatcher.go
@@ -28,8 +28,9 @@
 	maxDatagram = 2048
 	// maxPrefix is the maximum size in bytes of the header that a codec prepends to a packet.
 	maxPrefix = 64
-	// datagramOverhead is the size in bytes of the IPv4 and UDP headers of a datagram.
-	datagramOverhead = 28
+	// datagramOverhead is the number of bytes that a datagram takes on an Ethernet link beside its payload: 20 and
+	// 8 for the headers of IPv4 and UDP, 38 for preamble, header, checksum and gap of the frame (IEEE 802.3).
+	datagramOverhead = 66
 	// socketBuffer is the requested size in bytes of the kernel's receive buffer.
 	socketBuffer = 1 << 20
 	// sweepPeriod is the interval between sweeps for idle flows.
@@ -42,7 +43,7 @@
 // Codec decodes and encodes the packets of a platform.
 type Codec interface {
 	// Decode returns the fields of a packet that select its backend server, or
-	// ErrMalformed.
+	// ErrMalformed. Size and ResetSize are the bytes that Forward and Reset write.
 	Decode(datagram []byte) (balancer.Packet, error)
 	// Forward encodes a packet for a backend server, with the server's token, into dst
 	// and returns the bytes written.
@@ -66,8 +67,10 @@
 	received, forwarded, resets, malformed, panicked, sendErrors *expvar.Int
 	// lateOpenings counts first opening packets that were dropped instead of reset because they waited in the
 	// socket.
-	lateOpenings    *expvar.Int
-	refused, placed *expvar.Map
+	lateOpenings *expvar.Int
+	// withheldRefusals counts opening packets that were dropped instead of reset because the link had no room.
+	withheldRefusals *expvar.Int
+	refused, placed  *expvar.Map
 	// resetOpening, resetCopies and resetOpen count resets by reason: those that answer the first
 	// opening packet of a flow, a copy of one, and a packet of an open flow.
 	resetOpening, resetCopies, resetOpen *expvar.Map
@@ -95,7 +98,8 @@
 		received: counters.Int("packets_received"), forwarded: counters.Int("packets_forwarded"),
 		resets: counters.Int("packets_reset"), malformed: counters.Int("packets_malformed"),
 		panicked: counters.Int("packets_panicked"), lateOpenings: counters.Int("opening_packets_late"),
-		sendErrors: counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
+		withheldRefusals: counters.Int("refusals_withheld"),
+		sendErrors:       counters.Int("packets_send_errors"), refused: counters.Map("packets_not_forwarded"),
 		placed:       counters.Map("flows_placed"),
 		resetOpening: counters.Map("packets_reset_opening"), resetCopies: counters.Map("packets_reset_copy"),
 		resetOpen: counters.Map("packets_reset_open"), moved: counters.Int("flows_moved"), kept: counters.Int("flows_kept"),
@@ -167,7 +171,8 @@
 		d.malformed.Add(1)
 		return
 	}
-	packet.Size = len(datagram) + datagramOverhead
+	packet.Size += datagramOverhead
+	packet.ResetSize += datagramOverhead
 	now := d.clock.Now()
 	if packet.IsOpening {
 		packet.Waited = timestamper.Waited(ancillary, time.Now())
@@ -179,6 +184,9 @@
 	if verdict.IsLate {
 		d.lateOpenings.Add(1)
 	}
+	if verdict.IsWithheld {
+		d.withheldRefusals.Add(1)
+	}
 	if verdict.Placement.IsNew {
 		d.placed.Add(verdict.Placement.Kind(), 1)
 	}
--- a/entry/services/admitter/admitter.go
+++ b/entry/services/admitter/admitter.go
@@ -88,22 +88,30 @@
 	return &Admitter{settings: settings, link: linkLimiter{rate: settings.LinkRate}, credits: make(map[creditKey]float64)}
 }
 
-// Packet describes a packet that the entry has received.
+// Packet describes a packet that the entry sends.
 type Packet struct {
-	// Size is the number of bytes that it takes on the link.
+	// Size is the number of bytes that it takes on the link, with the headers of all layers and the gap between
+	// frames.
 	Size int
-	// IsOpening is set for an opening packet, and IsCopy for a copy of one.
+	// IsOpening is set for an opening packet, and IsCopy for one that the entry has sent before.
 	IsOpening, IsCopy bool
-	// IsExpected is set for the packets of a new flow up to its first answer, which its admission has taken
-	// into account.
+	// IsExpected is set for the packets of the first request of a flow, which its admission has taken into account.
 	IsExpected bool
+	// IsRefusal is set for the reset of a new flow.
+	IsRefusal bool
 }
 
-// RecordPacket records a packet that the entry has received.
+// RecordPacket records a packet that the entry sends.
 func (a *Admitter) RecordPacket(p Packet, now time.Time) { a.link.recordPacket(p, now) }
 
+// LinkWait returns how long a packet that the entry sends now waits for its link.
+func (a *Admitter) LinkWait(now time.Time) time.Duration {
+	a.link.advance(now)
+	return a.link.wait()
+}
+
 // RecordOpened records the time from the first opening packet of a flow, without copies, to the caller's
-// acknowledgement of the answer.
+// acknowledgement of the answer, less what LinkWait returned at its start.
 func (a *Admitter) RecordOpened(d time.Duration, now time.Time) { a.link.recordOpened(d, now) }
 
 // RecordRequest records a request that is served without the share of its rank, as one on an open flow is.
@@ -130,22 +138,25 @@
 }
 
 func (a *Admitter) decide(f Flow, ranks Ranks, isPromoted bool, now time.Time) Reason {
-	serviceUrgency, linkUrgency := f.Load.Ranks.urgency(f.Priority), ranks.urgency(f.Priority)
-	if isPromoted {
-		serviceUrgency, linkUrgency = 1, 1
+	serviceUrgency, share := f.Load.Ranks.urgency(f.Priority), shareOf(ranks.urgency(f.Priority))
+	switch {
+	case isPromoted:
+		serviceUrgency, share = 1, promotedShare
+	case len(ranks) < 2:
+		share = onlyShare
 	}
 	if f.Load.isExhausted() && f.Load.isOwnShareUsed(serviceUrgency) || f.Load.hasTooManyLongFlows(serviceUrgency) {
 		return ReasonOverCapacity
 	}
-	if len(ranks) < 2 {
-		// Nothing has to give way to the only rank, which would starve beside open flows otherwise.
-		linkUrgency = 1
-	}
-	if !a.link.admit(linkUrgency, now) {
+	if !a.link.admit(share, now) {
 		return ReasonLinkFull
 	}
 	return ReasonNone
 }
 
+// MayRefuse reports whether the link has room for the refusal of a new flow, of the given size in bytes. Without
+// room the opening packet is better left unanswered.
+func (a *Admitter) MayRefuse(size int, now time.Time) bool { return a.link.mayRefuse(size, now) }
+
 // IsLimiting reports whether the link limits new flows at present.
 func (a *Admitter) IsLimiting(now time.Time) bool { return a.link.isLimiting(now) }
--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -3,23 +3,23 @@
 import "time"
 
 const (
-	// usualLinkUse is the share of the rate that the link may carry as long as nothing more is known of it. The
-	// rest is left for what frames take beside packets, and for bursts, as the queue of a link may be short.
-	usualLinkUse = 0.8
-	// maxLinkUse and minLinkUse limit that share, which falls while packets are lost or wait, and rises
-	// otherwise. It rises above the usual one only while the link refuses flows and opening others is measured
-	// to be quick: refusing a flow costs up to three opening packets, a sixth of what serving it takes.
-	maxLinkUse = 1.0
+	// usualLinkUse is the share of the rate that new flows and refusals may fill. The rest is left for what the
+	// entry exchanges with control.
+	usualLinkUse = 0.95
+	// lossyLinkUse limits that share for lossMemory after a link has lost packets. Finding that out again takes the
+	// 200 ms after which callers send packets again, and is to cost little of the time.
+	lossyLinkUse = 0.8
+	lossMemory   = time.Minute
+	// minLinkUse limits that share, which falls while packets are lost or wait for longer than what this entry
+	// has sent explains: the link is then slower than its settings say, or carries more than the entry knows.
 	minLinkUse = 0.4
-	// lossMemory is how long the share stays at the usual one or below after a link has lost packets. Finding
-	// that out takes the 200 ms after which callers send packets again, and is to cost little of the time.
-	lossMemory = time.Minute
 	// useDecrease and useIncrease change the permitted share after a window with and without such signs.
 	useDecrease = 0.85
 	useIncrease = 0.05
-	// maxQueueing is the mean time that opening a flow may take longer than the shortest one lately. It is an
-	// eighth of the 200 ms after which callers send packets again, as single packets wait several times the
-	// mean, and packets of a request wait twice in sequence: the opening one and the data.
+	// maxQueueing is the mean time that opening a flow may take longer than the shortest one lately and the queue
+	// of the entry explain. It is an eighth of the 200 ms after which callers send packets again, as single
+	// packets wait several times the mean, and packets of a request wait twice in sequence: the opening one and
+	// the data.
 	maxQueueing = 25 * time.Millisecond
 	// longQueueing is half of those 200 ms. A link that queues for as long carries more and more opening packets
 	// twice, and does not become empty while all flows of the highest rank are admitted up to minLinkUse. The
@@ -27,9 +27,21 @@
 	longQueueing         = 100 * time.Millisecond
 	longQueueingDecrease = 0.6
 	minLongQueueingUse   = 0.3
-	// reservedUse is the share of the rate that refused opening packets never take from new flows. They come
-	// whether they are refused or not, and could keep out all flows otherwise.
-	reservedUse = 0.15
+	// maxRefusalUse is the share of the rate that refusals may take. Callers whose refusals exceed it get no
+	// answer, as the others would not be served otherwise.
+	maxRefusalUse = 0.5
+	// maxQueue is the longest wait for the link. What is sent beyond it counts as lost.
+	maxQueue = 50 * time.Millisecond
+	// maxLowestRankQueue is the wait from which no flow of the lowest rank is admitted, so that refusals and the
+	// higher ranks find room, and maxHigherRankQueue that of the other ranks.
+	maxLowestRankQueue = maxQueue / 5
+	maxHigherRankQueue = maxQueue * 4 / 5
+	// reservedUse is the share of the rate that flows of the highest rank, or of the only one, find also where open
+	// flows fill the link.
+	reservedUse = 0.25
+	// maxRefusalQueue is the wait from which refusals are withheld. A lost packet of an open flow costs its caller
+	// 200 ms.
+	maxRefusalQueue = maxQueue / 2
 	// busyLinkUse is the share of the rate from which loss and delay are taken for signs of a full link.
 	// Below it they have other causes, such as a backend server that does not answer.
 	busyLinkUse = 0.4
@@ -39,6 +51,8 @@
 	// minCopies their least number.
 	maxCopies = 0.1
 	minCopies = 3
+	// copyMemory is how long after a loss copies of opening packets still come.
+	copyMemory = time.Second
 	// baselineMemory is how long the shortest opening time is remembered, at least.
 	baselineMemory = 10 * time.Second
 	// bucketDepth is the time in which the link carries what the bucket holds.
@@ -56,9 +70,10 @@
 	idleReset = time.Second
 )
 
-// linkLimiter is a leaky bucket of the bytes that the link is expected to carry. A new flow is charged at
-// once with all that it is expected to send, so that the first moment of a burst is not admitted as a whole.
-// Refusing a flow saves its data and acknowledgements; the opening packet itself costs little.
+// linkLimiter limits what the entry sends on its link. queue follows the packets that were sent, and level is a
+// leaky bucket that is charged at once with all that a new flow is expected to send, so that the first moment of
+// a burst is not admitted as a whole. Packets that callers send to the entry use the other direction of the link,
+// which has fewer bytes to carry.
 type linkLimiter struct {
 	// rate is that of the link in bytes per second; 0 sets no limit.
 	rate float64
@@ -66,20 +81,26 @@
 	use float64
 	// lostAt is when the link last lost packets; zero if it did not.
 	lostAt time.Time
+	// queue holds the bytes that were sent and that the link has not carried yet.
+	queue float64
+	// filledAt is when the queue was last full, so that packets were lost; zero if it was not.
+	filledAt time.Time
 	// level is the fill of the bucket in bytes.
-	level     float64
-	drainedAt time.Time
-	flowBytes float64
-	baseline  baseline
-	window    linkWindowCounts
+	level float64
+	// refusals and reserved are the fills in bytes of the bucket of refusals and of that of the flows that have a
+	// reserved share.
+	refusals, reserved float64
+	drainedAt          time.Time
+	flowBytes          float64
+	baseline           baseline
+	window             linkWindowCounts
 }
 
 // linkWindowCounts holds what was counted in one window.
 type linkWindowCounts struct {
 	startedAt time.Time
-	// bytes are all that were received, chargedBytes those not covered by the charge for a new flow, and
-	// openingBytes those of opening packets among the latter.
-	bytes, chargedBytes, openingBytes int
+	// bytes are all that were sent, and chargedBytes those not covered by the charge for a new flow.
+	bytes, chargedBytes int
 	// admitted and refused count new flows.
 	admitted, refused int
 	// openings counts the opening packets that are not copies, and copies the others.
@@ -89,62 +110,94 @@
 	openingTime time.Duration
 }
 
-// recordPacket records a packet.
+// recordPacket records a packet that the entry sends.
 func (l *linkLimiter) recordPacket(p Packet, now time.Time) {
 	if l.rate <= 0 {
 		return
 	}
 	l.advance(now)
+	if l.queue += float64(p.Size); l.queue > l.rate*maxQueue.Seconds() {
+		l.queue, l.filledAt = l.rate*maxQueue.Seconds(), now
+	}
 	l.window.bytes += p.Size
-	if p.IsOpening {
-		if p.IsCopy {
-			l.window.copies++
-		} else {
-			l.window.openings++
-		}
+	switch {
+	case p.IsRefusal:
+		l.refusals += float64(p.Size)
+	case p.IsOpening && p.IsCopy:
+		l.window.copies++
+	case p.IsOpening:
+		l.window.openings++
 	}
 	if p.IsExpected {
 		return
 	}
 	l.window.chargedBytes += p.Size
-	if p.IsOpening {
-		if l.window.openingBytes += p.Size; float64(l.window.openingBytes) > (l.use-reservedUse)*l.rate*linkWindow.Seconds() {
-			return
-		}
-	}
-	// Packets of open flows and refused openings come whether there is room for them or not. They fill the
-	// bucket only so far that the higher ranks still find room.
+	// Packets of open flows and refusals come whether there is room for them or not. They fill the bucket only so
+	// far that the higher ranks still find room.
 	if limit := openFlowLevel * l.depth(); l.level < limit {
 		l.level = min(l.level+float64(p.Size), limit)
 	}
 }
 
-// recordOpened records how long opening a flow took.
+// recordOpened records how long opening a flow took, without the wait for the link that was expected.
 func (l *linkLimiter) recordOpened(d time.Duration, now time.Time) {
 	l.baseline.record(d, now)
 	l.window.opened++
 	l.window.openingTime += d
 }
 
-// admit reports whether a new flow fits the link. urgency is 1 for the highest rank and 0 for the lowest.
-func (l *linkLimiter) admit(urgency float64, now time.Time) bool {
+// linkShare is what part of the link a new flow may use.
+type linkShare struct {
+	// level is the fill of the bucket up to which the flow is admitted, and wait the longest wait for the link.
+	level float64
+	wait  time.Duration
+	// isReserved is set if the flow may use the reserved share of the link beyond that.
+	isReserved bool
+}
+
+// shareOf returns the share of a flow. urgency is 1 for the highest rank and 0 for the lowest.
+func shareOf(urgency float64) linkShare {
+	if urgency <= 0 {
+		return linkShare{level: lowestRankLevel, wait: maxLowestRankQueue}
+	}
+	return linkShare{level: openFlowLevel + (1-openFlowLevel)*urgency, wait: maxHigherRankQueue, isReserved: urgency >= 1}
+}
+
+// Shares of flows whose rank does not tell it: those beside which there is no other rank, as nothing has to give
+// way to them, and those that keep a lower rank from starving.
+var (
+	onlyShare     = linkShare{level: lowestRankLevel, wait: maxHigherRankQueue, isReserved: true}
+	promotedShare = linkShare{level: 1.1, wait: maxQueue}
+)
+
+// admit reports whether a new flow fits its share of the link.
+func (l *linkLimiter) admit(share linkShare, now time.Time) bool {
 	if l.rate <= 0 {
 		return true
 	}
 	l.advance(now)
-	limit := lowestRankLevel
-	if urgency > 0 {
-		limit = openFlowLevel + (1-openFlowLevel)*urgency
-	}
-	if l.level > l.depth()*limit {
+	fits := l.level <= l.depth()*share.level && l.wait() <= share.wait
+	if !fits && !(share.isReserved && l.reserved <= 0) {
 		l.window.refused++
 		return false
 	}
+	if share.isReserved {
+		l.reserved = min(l.reserved+l.flowBytes, l.depth())
+	}
 	l.window.admitted++
 	l.level += l.flowBytes
 	return true
 }
 
+// mayRefuse reports whether the link has room for a refusal of the given size.
+func (l *linkLimiter) mayRefuse(size int, now time.Time) bool {
+	if l.rate <= 0 {
+		return true
+	}
+	l.advance(now)
+	return l.refusals+float64(size) <= maxRefusalUse*l.depth() && l.wait() <= maxRefusalQueue
+}
+
 // isLimiting reports whether the link refuses flows of the lowest rank.
 func (l *linkLimiter) isLimiting(now time.Time) bool {
 	if l.rate <= 0 {
@@ -155,20 +208,29 @@
 }
 
 // depth returns the size of the bucket in bytes.
-func (l *linkLimiter) depth() float64 { return usualLinkUse * l.rate * bucketDepth.Seconds() }
+func (l *linkLimiter) depth() float64 { return l.rate * bucketDepth.Seconds() }
+
+// wait returns how long a packet that is sent now waits for the link.
+func (l *linkLimiter) wait() time.Duration {
+	return time.Duration(l.queue / l.rate * float64(time.Second))
+}
 
-// advance drains the bucket and ends the window if its time is over.
+// advance drains the queue and the buckets, and ends the window if its time is over.
 func (l *linkLimiter) advance(now time.Time) {
 	passed := now.Sub(l.drainedAt)
 	if passed > idleReset {
 		*l = linkLimiter{
-			rate: l.rate, use: usualLinkUse, lostAt: l.lostAt, drainedAt: now, flowBytes: max(l.flowBytes, defaultFlowBytes),
+			rate: l.rate, use: usualLinkUse, lostAt: l.lostAt, filledAt: l.filledAt, drainedAt: now, flowBytes: max(l.flowBytes, defaultFlowBytes),
 			window: linkWindowCounts{startedAt: now},
 		}
 		return
 	}
 	if passed > 0 {
-		l.level = max(l.level-l.use*l.rate*passed.Seconds(), 0)
+		carried := l.rate * passed.Seconds()
+		l.queue = max(l.queue-carried, 0)
+		l.level = max(l.level-l.use*carried, 0)
+		l.refusals = max(l.refusals-maxRefusalUse*carried, 0)
+		l.reserved = max(l.reserved-reservedUse*carried, 0)
 		l.drainedAt = now
 	}
 	if now.Sub(l.window.startedAt) >= linkWindow {
@@ -182,25 +244,21 @@
 	w, queueing := l.window, l.window.queueing(l.baseline.get())
 	isBusy := float64(w.bytes)/now.Sub(w.startedAt).Seconds()/l.rate > busyLinkUse
 	switch {
-	case isBusy && w.losesPackets():
-		l.use, l.lostAt = max(min(l.use, usualLinkUse)*useDecrease, minLinkUse), now
-		return
 	case isBusy && queueing > longQueueing:
 		l.use = max(l.use*longQueueingDecrease, minLongQueueingUse)
 		return
+	case isBusy && w.losesPackets() && now.Sub(l.filledAt) > copyMemory:
+		l.use, l.lostAt = max(min(l.use, lossyLinkUse)*useDecrease, minLinkUse), now
+		return
 	case isBusy && queueing > maxQueueing:
 		l.use = max(l.use*useDecrease, minLinkUse)
 		return
 	}
-	isProved := w.opened > 0 && now.Sub(l.lostAt) > lossMemory
-	switch {
-	case l.use < usualLinkUse:
-		l.use = min(l.use+useIncrease, usualLinkUse)
-	case isProved && w.refused > 0:
-		l.use = min(l.use+useIncrease, maxLinkUse)
-	case w.refused == 0:
-		l.use = max(l.use-useIncrease, usualLinkUse)
+	most := usualLinkUse
+	if now.Sub(l.lostAt) < lossMemory {
+		most = lossyLinkUse
 	}
+	l.use = min(l.use+useIncrease, most)
 	if w.admitted > 0 {
 		l.flowBytes += flowSmoothing * (float64(w.bytes-w.chargedBytes)/float64(w.admitted) - l.flowBytes)
 	}
--- a/entry/services/balancer/admission.go
+++ b/entry/services/balancer/admission.go
@@ -13,12 +13,33 @@
 // Callers wait for these, so that there are few; the others are refused until one is answered.
 const probeInterval = 100 * time.Millisecond
 
-// recordArrival records a packet for the limit of the link.
-func (b *Balancer) recordArrival(p Packet, now time.Time) {
-	f := b.flows[keyOf(p)]
-	b.admitter.RecordPacket(admitter.Packet{
-		Size: p.Size, IsOpening: p.IsOpening, IsCopy: p.IsOpening && p.Retransmissions > 0, IsExpected: f != nil && !f.isAnswered,
-	}, now)
+// recordSent records what the entry sends for a packet. isKnown is set if it knew the flow before.
+func (b *Balancer) recordSent(p Packet, v Verdict, isKnown, isFirstRequest bool, now time.Time) {
+	switch v.Action {
+	case ActionForward:
+		b.admitter.RecordPacket(admitter.Packet{
+			Size: p.Size, IsOpening: p.IsOpening, IsCopy: p.IsOpening && isKnown, IsExpected: p.IsOpening || isFirstRequest,
+		}, now)
+	case ActionReset:
+		b.admitter.RecordPacket(admitter.Packet{Size: p.ResetSize, IsRefusal: p.IsOpening}, now)
+	case ActionDrop:
+	}
+}
+
+// linkWait returns how long a packet waits for the link of the entry now, or 0 if no limit of it is known.
+func (b *Balancer) linkWait(now time.Time) time.Duration {
+	if b.admitter == nil {
+		return 0
+	}
+	return b.admitter.LinkWait(now)
+}
+
+// limitRefusal drops an opening packet instead of refusing it if the link has no room for the reset.
+func (b *Balancer) limitRefusal(p Packet, v Verdict, now time.Time) Verdict {
+	if v.Action == ActionReset && p.IsOpening && !b.admitter.MayRefuse(p.ResetSize, now) {
+		v.Action, v.IsWithheld = ActionDrop, true
+	}
+	return v
 }
 
 // servicesOf yields the services of a route in the order in which a new flow tries them: the given one, then the
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -132,11 +132,14 @@
 func (b *Balancer) Decide(p Packet, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.admitter != nil {
-		b.recordArrival(p, now)
-	}
+	f := b.flows[keyOf(p)]
+	isFirstRequest := f != nil && f.isFirstRequest(p)
 	verdict := b.decide(p, now)
 	b.recordRefusal(p, verdict, now)
+	if b.admitter != nil {
+		verdict = b.limitRefusal(p, verdict, now)
+		b.recordSent(p, verdict, f != nil, isFirstRequest, now)
+	}
 	if !b.updatedAt.IsZero() {
 		verdict.View = View{Index: b.index, Version: b.directory.Version, Age: now.Sub(b.updatedAt)}
 	}
@@ -273,7 +276,7 @@
 	}
 	b.untrack(key, now)
 	placement := b.selector.describe(server, tried, now)
-	f := b.track(key, flow{token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now})
+	f := b.track(key, flow{token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now, linkWait: b.linkWait(now)})
 	return Verdict{Action: ActionForward, Server: server, Placement: placement, Ticket: b.offerSecondOpening(p, f, route, tried, now)}
 }
 
--- a/entry/services/balancer/explanation.go
+++ b/entry/services/balancer/explanation.go
@@ -33,7 +33,7 @@
 		e.Outcomes = []explainer.Outcome{refusal(1, ActionDrop, ReasonNoView)}
 	case !ok:
 		v := b.refuseUnknownAddress(Packet{Source: source, Destination: route, IsOpening: true}, now)
-		e.Outcomes = []explainer.Outcome{refusal(1, v.Action, v.Reason)}
+		e.Outcomes = []explainer.Outcome{newTrial(b, now).refuseNew("", "", v.Action, v.Reason, nil)}
 	default:
 		e.Services = b.explainServices(found, now)
 		e.Outcomes = b.explainOutcomes(found, source, now)
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -36,6 +36,8 @@
 	retransmissions uint32
 	// openedAt is when this entry first saw the flow.
 	openedAt, lastPacketAt time.Time
+	// linkWait is how long the opening packet waited for the link of the entry.
+	linkWait time.Duration
 	// isEstablished is set once the caller has acknowledged the answer to its opening packet.
 	isEstablished bool
 	// isRequestPending is set while the caller has sent a request, up to sequence, and has
@@ -52,8 +54,8 @@
 	isRequestExpired bool
 	// hasRequested is set once the caller has sent a request.
 	hasRequested bool
-	// isAnswered is set once a request of the flow has been answered.
-	isAnswered bool
+	// isAnswered is set once a request of the flow has been answered, and isReused once another one has followed.
+	isAnswered, isReused bool
 	// progress counts the request in progress since progressSince; nil if there is none.
 	progress      *groupLoad
 	progressSince time.Time
@@ -68,6 +70,9 @@
 	return !f.isEstablished && p.Retransmissions > f.retransmissions && now.Sub(f.lastPacketAt) >= minRetransmissionDelay
 }
 
+// isFirstRequest reports whether a packet belongs to the first request of the flow.
+func (f *flow) isFirstRequest(p Packet) bool { return !f.isReused && !(f.isAnswered && p.HasData) }
+
 func (b *Balancer) track(key flowKey, f flow) *flow {
 	if len(b.flows) >= b.settings.MaxFlows {
 		return nil
@@ -120,7 +125,7 @@
 	if f == nil || f.token != server.Token {
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
-		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now}); f == nil {
+		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, isReused: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now}); f == nil {
 			return
 		}
 	}
@@ -138,7 +143,7 @@
 		return
 	}
 	if b.admitter != nil && !f.isEstablished && f.retransmissions == 0 {
-		b.admitter.RecordOpened(now.Sub(f.openedAt), now)
+		b.admitter.RecordOpened(now.Sub(f.openedAt)-f.linkWait, now)
 	}
 	f.isEstablished, f.acknowledged = true, p.Acknowledged
 	b.selector.recordAnswer(f.token, now)
@@ -155,6 +160,7 @@
 // recordRequest records data from the caller. Data that is retransmitted was not answered in time.
 func (b *Balancer) recordRequest(key flowKey, f *flow, p Packet, server director.Server, now time.Time) {
 	if !f.isRequestPending {
+		f.isReused = f.isReused || f.isAnswered
 		f.isRequestPending, f.isRequestExpired, f.sequence, f.requestedAt = true, false, p.Sequence, now
 		b.selector.addRequest(f.token, 1, now)
 		b.beginRequest(key, f, server, now)
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -28,8 +28,9 @@
 	// HasData is set if the packet carries data of the caller, which starts at Sequence.
 	HasData  bool
 	Sequence uint32
-	// Size is the number of bytes that the packet takes on the link of the entry.
-	Size int
+	// Size is the number of bytes that the packet takes on the link of the entry when it is forwarded, and
+	// ResetSize that of a reset of its flow.
+	Size, ResetSize int
 	// Acknowledged is the position up to which the caller has received data.
 	Acknowledged uint32
 	// Waited is how long the packet waited in the socket of the entry before it was read, or 0 if unknown.
@@ -116,6 +117,8 @@
 	IsKept bool
 	// IsLate is set on a first opening packet that is dropped instead of reset because it waited in the socket.
 	IsLate bool
+	// IsWithheld is set on an opening packet that is dropped instead of reset because the link has no room.
+	IsWithheld bool
 	// Placement describes how a new flow was placed.
 	Placement Placement
 	// Ticket is set on an opening packet that may be sent to a second backend server; see
