Split the large files of control by subject

Change: declarations move unchanged to files named after them (settings, messaging, committing, replicating, reading; stepping, status; forwarding, renewal_reporting). The two schedules of early elections share one function with the same random draws. Figures: go test ./services/replicator ./services/driver ./services/director passes; the linter of control is clean.

--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -20,7 +20,6 @@
 	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/buffer"
-	"github.com/redwingledge/redwingledge/shared/modules/recoverer"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
@@ -195,116 +194,6 @@
 	}
 }
 
-// runSteps is the goroutine that owns the Machine.
-func (d *Driver) runSteps() {
-	defer d.wg.Done()
-	defer d.closeSenders()
-	batch := make([]replicator.Input, stepBatch)
-	for {
-		n := d.inputs.PopBatch(batch)
-		if n == 0 || d.failure() != nil {
-			return
-		}
-		var saveErr error
-		if err := recoverer.Run(func() {
-			d.takeInputs(d.timestampInputs(batch[:n]))
-			saveErr = d.flush()
-		}); err != nil {
-			d.fail(fmt.Errorf("handle a message: %w", withStack(err)))
-			return
-		}
-		if saveErr != nil {
-			d.failSave(saveErr)
-			return
-		}
-	}
-}
-
-// withStack adds the stack trace of a panic to its error, for the log.
-func withStack(err error) error {
-	var panicked recoverer.ErrPanic
-	if errors.As(err, &panicked) {
-		return fmt.Errorf("%w\n%s", err, panicked.Stack)
-	}
-	return err
-}
-
-// timestampInputs sets the time of the inputs to that at which they are handled, so that
-// a message that was queued while the process was paused counts as late. If the Applier
-// has taken a snapshot since the last step, it is added as a further input.
-func (d *Driver) timestampInputs(batch []replicator.Input) []replicator.Input {
-	now := d.options.Timer.Now()
-	inputs := make([]replicator.Input, 0, len(batch)+1)
-	for _, input := range batch {
-		switch in := input.(type) {
-		case replicator.Tick:
-			in.Now = now
-			input = in
-		case replicator.Receive:
-			in.Now = now
-			input = in
-		case replicator.Propose:
-			in.Now = now
-			input = in
-		case replicator.Read:
-			in.Now = now
-			input = in
-		case replicator.Remove:
-			in.Now = now
-			input = in
-		case replicator.Resign:
-			in.Now = now
-			input = in
-		}
-		inputs = append(inputs, input)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.snapshotTaken != nil {
-		d.snapshotTaken.Now = now
-		inputs = append(inputs, *d.snapshotTaken)
-		d.snapshotTaken = nil
-	}
-	return inputs
-}
-
-// collectBatch merges the durable output of a step into one batch. When it is saved,
-// later entries replace the earlier ones from their index on. A received snapshot that
-// resets the log deletes the entries collected so far.
-func collectBatch(out []replicator.Output) *storer.Batch {
-	var b storer.Batch
-	for _, o := range out {
-		switch o := o.(type) {
-		case replicator.SaveVote:
-			b.Vote = &o.Vote
-		case replicator.SaveEntries:
-			b.Entries = append(b.Entries, o.Entries...)
-		case replicator.SaveSnapshot:
-			b.Snapshot = o.Snapshot
-			b.CompactBefore = max(b.CompactBefore, o.CompactBefore)
-			if o.Reset {
-				b.Reset, b.CompactBefore, b.Entries = true, 0, nil
-			}
-		}
-	}
-	return &b
-}
-
-func (d *Driver) handleOutput(o replicator.Output) {
-	switch o := o.(type) {
-	case replicator.Send:
-		d.send(o)
-	case replicator.Accepted:
-		d.pending.accept(o)
-	case replicator.Refused:
-		d.pending.finish(o.ID, outcome{err: o.Err})
-	case replicator.OutcomeUnknown:
-		d.pending.finish(o.ID, outcome{err: replicator.ErrOutcomeUnknown{Reason: "this replica no longer leads"}})
-	case replicator.Apply, replicator.Restore, replicator.TakeSnapshot, replicator.ReadReady:
-		d.applyQueue.Push(o)
-	}
-}
-
 func (d *Driver) failure() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -326,53 +215,6 @@
 	d.shutDown()
 }
 
-// updateStatus publishes the state of the Machine and logs its changes.
-func (d *Driver) updateStatus() {
-	status, counts := d.machine.Status(), d.machine.Counts()
-	d.mu.Lock()
-	before := d.status
-	d.status, d.counts, d.statusAt = status, counts, d.options.Timer.Now()
-	d.mu.Unlock()
-	if before.Role != status.Role && (before.Role == replicator.RoleLeader || status.Role == replicator.RoleLeader) || before.Leader != status.Leader {
-		d.options.Logger.Info("replica role", "role", status.Role, "term", status.Term, "leader", status.Leader)
-	}
-	if before.Verified != status.Verified {
-		d.options.Logger.Info("replica verification", "verified", status.Verified)
-	}
-	if before.Membership.Voters() != status.Membership.Voters() || len(before.Membership.Members) != len(status.Membership.Members) {
-		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", status.Membership.Voters())
-	}
-	d.logCurrent()
-}
-
-// logCurrent logs when this replica becomes current or stops being current.
-func (d *Driver) logCurrent() {
-	status := d.Status()
-	isCurrent := status.IsCurrent()
-	d.mu.Lock()
-	changed := isCurrent != d.loggedCurrent
-	d.loggedCurrent = isCurrent
-	d.mu.Unlock()
-	if changed {
-		d.options.Logger.Info("replica is current", "current", isCurrent, "applied", status.AppliedIndex, "caught_up", status.CaughtUpIndex, "term", status.Term)
-	}
-}
-
-// Status returns the status of this replica. HasQuorum is false after a failure, and if the
-// status is older than an election timeout: after a pause of the process, contact with a
-// leader and its majority must not be assumed until the next step.
-func (d *Driver) Status() replicator.Status {
-	now := d.options.Timer.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s := d.status
-	s.AppliedIndex, s.Failed = d.applied, d.failed
-	if d.failed != nil || now.Sub(d.statusAt) > d.options.Settings.ElectionTimeout {
-		s.HasQuorum = false
-	}
-	return s
-}
-
 // errStopped returns the error of calls after Stop or a failure.
 func (d *Driver) errStopped() error {
 	reason := "this replica stops"
--- a/control/services/driver/saving.go
+++ b/control/services/driver/saving.go
@@ -120,3 +120,25 @@
 }
 
 func (d *Driver) failSave(err error) { d.fail(fmt.Errorf("store the log: %w", err)) }
+
+// collectBatch merges the durable output of a step into one batch. When it is saved,
+// later entries replace the earlier ones from their index on. A received snapshot that
+// resets the log deletes the entries collected so far.
+func collectBatch(out []replicator.Output) *storer.Batch {
+	var b storer.Batch
+	for _, o := range out {
+		switch o := o.(type) {
+		case replicator.SaveVote:
+			b.Vote = &o.Vote
+		case replicator.SaveEntries:
+			b.Entries = append(b.Entries, o.Entries...)
+		case replicator.SaveSnapshot:
+			b.Snapshot = o.Snapshot
+			b.CompactBefore = max(b.CompactBefore, o.CompactBefore)
+			if o.Reset {
+				b.Reset, b.CompactBefore, b.Entries = true, 0, nil
+			}
+		}
+	}
+	return &b
+}
--- /dev/null
+++ b/control/services/driver/status.go
@@ -0,0 +1,50 @@
+package driver
+
+import "github.com/redwingledge/redwingledge/control/services/replicator"
+
+// updateStatus publishes the state of the Machine and logs its changes.
+func (d *Driver) updateStatus() {
+	status, counts := d.machine.Status(), d.machine.Counts()
+	d.mu.Lock()
+	before := d.status
+	d.status, d.counts, d.statusAt = status, counts, d.options.Timer.Now()
+	d.mu.Unlock()
+	if before.Role != status.Role && (before.Role == replicator.RoleLeader || status.Role == replicator.RoleLeader) || before.Leader != status.Leader {
+		d.options.Logger.Info("replica role", "role", status.Role, "term", status.Term, "leader", status.Leader)
+	}
+	if before.Verified != status.Verified {
+		d.options.Logger.Info("replica verification", "verified", status.Verified)
+	}
+	if before.Membership.Voters() != status.Membership.Voters() || len(before.Membership.Members) != len(status.Membership.Members) {
+		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", status.Membership.Voters())
+	}
+	d.logCurrent()
+}
+
+// logCurrent logs when this replica becomes current or stops being current.
+func (d *Driver) logCurrent() {
+	status := d.Status()
+	isCurrent := status.IsCurrent()
+	d.mu.Lock()
+	changed := isCurrent != d.loggedCurrent
+	d.loggedCurrent = isCurrent
+	d.mu.Unlock()
+	if changed {
+		d.options.Logger.Info("replica is current", "current", isCurrent, "applied", status.AppliedIndex, "caught_up", status.CaughtUpIndex, "term", status.Term)
+	}
+}
+
+// Status returns the status of this replica. HasQuorum is false after a failure, and if the
+// status is older than an election timeout: after a pause of the process, contact with a
+// leader and its majority must not be assumed until the next step.
+func (d *Driver) Status() replicator.Status {
+	now := d.options.Timer.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.status
+	s.AppliedIndex, s.Failed = d.applied, d.failed
+	if d.failed != nil || now.Sub(d.statusAt) > d.options.Settings.ElectionTimeout {
+		s.HasQuorum = false
+	}
+	return s
+}
--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -16,6 +16,18 @@
 // pre-votes, and this replica may be the only one that reaches a majority.
 const maxElectionDeferrals = 3
 
+const (
+	// earlyElectionDivisor divides the election timeout to give the mean delay of an early
+	// election.
+	earlyElectionDivisor = 3
+	// firstElectionDivisor does so for the first election after a start. With a timeout of
+	// 900 ms the delay is 25 ms to 75 ms, several round trips between data centres.
+	firstElectionDivisor = 18
+	// firstElectionTimeouts is the number of election timeouts after a start during which a
+	// replica without contact to a leader retries at the interval of a first election.
+	firstElectionTimeouts = 4
+)
+
 // startElection asks the other voters for votes. With preVote it only asks whether they would
 // grant them, so that a replica that was partitioned off does not raise the term. With
 // leadershipTransfer the voters grant votes although the current leader is alive, because it
@@ -169,3 +181,27 @@
 		}
 	}
 }
+
+func (m *Machine) resetElection() {
+	jitter := time.Duration(m.rng.Int64N(int64(m.settings.ElectionTimeout)))
+	m.electionAt = m.now.Add(m.settings.ElectionTimeout + jitter)
+}
+
+// scheduleEarlyElection schedules the next election within a fraction of the election timeout.
+// It serves replicas that cannot depose a live leader, because they have just started or only
+// ask for pre-votes. A replica that grants a pre-vote defers its own election by the same delay,
+// so that replicas rarely compete for the same votes.
+func (m *Machine) scheduleEarlyElection() {
+	m.scheduleElection(m.settings.ElectionTimeout / earlyElectionDivisor)
+}
+
+// scheduleFirstElection schedules an election soon after a start, because all replicas may have
+// started together while callers wait for a leader. The pre-vote does not depose a live leader.
+// The random spread is several round trips between data centres.
+func (m *Machine) scheduleFirstElection() {
+	m.scheduleElection(m.settings.ElectionTimeout / firstElectionDivisor)
+}
+
+func (m *Machine) scheduleElection(meanDelay time.Duration) {
+	m.electionAt = m.now.Add(meanDelay/2 + time.Duration(m.rng.Int64N(int64(meanDelay))))
+}
--- a/control/services/replicator/entry_log.go
+++ b/control/services/replicator/entry_log.go
@@ -12,6 +12,9 @@
 	entries []storer.Entry
 }
 
+// entryOverheadBytes is the approximate encoded size of an entry without its data.
+const entryOverheadBytes = 32
+
 func newEntryLog(snapshot *storer.Snapshot, entries []storer.Entry) (entryLog, error) {
 	dummy := storer.Entry{}
 	if snapshot != nil {
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -1,9 +1,12 @@
 package replicator
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
 
@@ -11,6 +14,12 @@
 // load a non-voter is always slightly behind.
 const maxLag = 64
 
+// indexedMembership is a membership with the index of its log entry.
+type indexedMembership struct {
+	index      uint64
+	membership storer.Membership
+}
+
 // canChangeMembership reports whether the last change and an entry of the current term are
 // committed. Otherwise the majorities of two memberships might not overlap.
 func (m *Machine) canChangeMembership() bool {
@@ -261,3 +270,30 @@
 	}
 	return nil
 }
+
+// membership returns the newest membership in the log, whether committed or not.
+func (m *Machine) membership() storer.Membership {
+	return m.memberships[len(m.memberships)-1].membership
+}
+
+func (m *Machine) membershipIndex() uint64 { return m.memberships[len(m.memberships)-1].index }
+
+func (m *Machine) recordMembership(e storer.Entry) error {
+	membership, err := decodeMembership(e)
+	if err == nil && membership != nil && e.Index > m.membershipIndex() {
+		m.memberships = append(m.memberships, indexedMembership{index: e.Index, membership: *membership})
+	}
+	return err
+}
+
+// decodeMembership returns the membership of an entry, or nil if the entry is of another kind.
+func decodeMembership(e storer.Entry) (*storer.Membership, error) {
+	if e.Kind != storer.EntryMembership {
+		return nil, nil
+	}
+	var membership storer.Membership
+	if err := cbor.Unmarshal(e.Data, &membership); err != nil {
+		return nil, fmt.Errorf("decode the membership of entry %d: %w", e.Index, err)
+	}
+	return &membership, nil
+}
--- a/control/services/replicator/snapshotting.go
+++ b/control/services/replicator/snapshotting.go
@@ -141,3 +141,14 @@
 		m.sendAppend(member, p)
 	}
 }
+
+// needsSnapshot reports whether a restart would have to apply more entries since the last
+// snapshot than the settings allow.
+func (m *Machine) needsSnapshot() bool {
+	snapshotIndex := uint64(0)
+	if m.snapshot != nil {
+		snapshotIndex = m.snapshot.Index
+	}
+	return m.commitIndex-snapshotIndex >= uint64(m.settings.SnapshotEntries) ||
+		m.settings.SnapshotBytes > 0 && m.bytesSinceSnapshot >= m.settings.SnapshotBytes
+}
