Name second attempts of the scheduler in full

Cause: the fields and functions of second attempts were called seconds (m.seconds, countSeconds), which reads as a unit of time in a package that handles durations. Change: secondAttempts and pendingSecondAttempt; returnUnused instead of giveBack.

--- a/gateway/services/scheduler/scheduler.go
+++ b/gateway/services/scheduler/scheduler.go
@@ -43,9 +43,9 @@
 	services          []string
 	noBackendSince    map[string]time.Time
 	lastGrantRequests time.Time
-	// seconds are the second attempts that have no slot yet.
-	seconds []pendingSecond
-	prober  *prober.Machine
+	// secondAttempts are those that have no slot yet.
+	secondAttempts []pendingSecondAttempt
+	prober         *prober.Machine
 	// appliedVersion and appliedGateways identify the view that was last passed to the leases
 	// and the granter.
 	appliedVersion  uint64
@@ -81,9 +81,9 @@
 	case RequestQueued:
 		out = m.enqueue(now, in)
 	case SecondSlotRequested:
-		m.seconds = append(m.seconds, pendingSecond{SecondSlotRequested: in, expiry: now.Add(secondSlotTimeout)})
+		m.secondAttempts = append(m.secondAttempts, pendingSecondAttempt{SecondSlotRequested: in, expiry: now.Add(secondSlotTimeout)})
 	case RequestCancelled:
-		m.cancelSecond(in.Request)
+		m.cancelSecondAttempt(in.Request)
 		if q := m.queues[in.Service]; q != nil {
 			q.Remove(in.Request)
 		}
@@ -107,14 +107,14 @@
 		out = append(m.probe(now), m.expire(now)...)
 	}
 	out = append(out, m.startRequests(now)...)
-	out = append(out, m.startSeconds(now)...)
+	out = append(out, m.startSecondAttempts(now)...)
 	if !m.areGrantRequestsDue(now, input) {
 		return out
 	}
 	m.lastGrantRequests = now
 	out = append(out, m.requestGrants(now)...)
 	out = append(out, m.startRequests(now)...)
-	return append(out, m.startSeconds(now)...)
+	return append(out, m.startSecondAttempts(now)...)
 }
 
 // areGrantRequestsDue reports whether to check for due slot requests: at each tick, and between
@@ -127,7 +127,7 @@
 	if now.Sub(m.lastGrantRequests) < grantRequestPeriod {
 		return false
 	}
-	return len(m.seconds) > 0 || slices.ContainsFunc(m.services, func(service string) bool { return m.queues[service].Len() > 0 })
+	return len(m.secondAttempts) > 0 || slices.ContainsFunc(m.services, func(service string) bool { return m.queues[service].Len() > 0 })
 }
 
 // probe sends the probes that are due and applies changes in which gateways are considered
@@ -225,7 +225,7 @@
 		waiting[service] = m.queues[service].Len()
 	}
 	var out []Output
-	for _, outgoing := range m.leases.DueRequests(now, waiting, m.countSeconds()) {
+	for _, outgoing := range m.leases.DueRequests(now, waiting, m.countSecondAttempts()) {
 		if outgoing.To == m.settings.Self {
 			m.leases.HandleAnswer(now, outgoing.To, outgoing.Request.Sequence, m.answerGrantRequest(now, outgoing.Request))
 			continue
--- a/gateway/services/scheduler/seconds.go
+++ b/gateway/services/scheduler/second_attempts.go
@@ -11,18 +11,18 @@
 // a free slot. It is more than two round trips between data centres.
 const secondSlotTimeout = 20 * time.Millisecond
 
-// pendingSecond is a second attempt that has no slot yet.
-type pendingSecond struct {
+// pendingSecondAttempt is a second attempt that has no slot yet.
+type pendingSecondAttempt struct {
 	SecondSlotRequested
 	expiry time.Time
 }
 
-// startSeconds assigns free slots to second attempts, and withholds those that get none in time.
+// startSecondAttempts assigns free slots to second attempts, and withholds those that get none in time.
 // Requests that wait, here or at another gateway, come first.
-func (m *Machine) startSeconds(now time.Time) []Output {
+func (m *Machine) startSecondAttempts(now time.Time) []Output {
 	var out []Output
-	m.seconds = slices.DeleteFunc(m.seconds, func(p pendingSecond) bool {
-		output, isDecided := m.decideSecond(now, p)
+	m.secondAttempts = slices.DeleteFunc(m.secondAttempts, func(p pendingSecondAttempt) bool {
+		output, isDecided := m.decideSecondAttempt(now, p)
 		if isDecided {
 			out = append(out, output)
 		}
@@ -31,7 +31,7 @@
 	return out
 }
 
-func (m *Machine) decideSecond(now time.Time, p pendingSecond) (Output, bool) {
+func (m *Machine) decideSecondAttempt(now time.Time, p pendingSecondAttempt) (Output, bool) {
 	service := p.First.Service
 	if m.Waiting(service) > 0 || m.leases.IsContended(now, service) {
 		return Withhold{Request: p.Request, Reason: hedger.ReasonRequestsWait}, true
@@ -45,18 +45,18 @@
 	return Withhold{Request: p.Request, Reason: hedger.ReasonNoFreeSlot}, true
 }
 
-// cancelSecond removes a second attempt that is no longer needed.
-func (m *Machine) cancelSecond(request uint64) {
-	m.seconds = slices.DeleteFunc(m.seconds, func(p pendingSecond) bool { return p.Request == request })
+// cancelSecondAttempt removes a second attempt that is no longer needed.
+func (m *Machine) cancelSecondAttempt(request uint64) {
+	m.secondAttempts = slices.DeleteFunc(m.secondAttempts, func(p pendingSecondAttempt) bool { return p.Request == request })
 }
 
-// countSeconds returns the number of second attempts of each service that have no slot yet.
-func (m *Machine) countSeconds() map[string]int {
-	if len(m.seconds) == 0 {
+// countSecondAttempts returns the number of second attempts of each service that have no slot yet.
+func (m *Machine) countSecondAttempts() map[string]int {
+	if len(m.secondAttempts) == 0 {
 		return nil
 	}
 	counts := make(map[string]int)
-	for _, p := range m.seconds {
+	for _, p := range m.secondAttempts {
 		counts[p.First.Service]++
 	}
 	return counts
--- a/gateway/services/scheduler/service.go
+++ b/gateway/services/scheduler/service.go
@@ -130,7 +130,7 @@
 		s.Push(RequestCancelled{Service: service, Request: id})
 		return leaseholder.Slot{}, ctx.Err()
 	}
-	return leaseholder.Slot{}, s.giveBack(<-result, ctx.Err())
+	return leaseholder.Slot{}, s.returnUnused(<-result, ctx.Err())
 }
 
 // AcquireSecond returns a slot for the second attempt of a request whose first attempt runs at
@@ -152,11 +152,11 @@
 		s.Push(RequestCancelled{Service: first.Service, Request: id})
 		return leaseholder.Slot{}, ctx.Err()
 	}
-	return leaseholder.Slot{}, s.giveBack(<-result, ctx.Err())
+	return leaseholder.Slot{}, s.returnUnused(<-result, ctx.Err())
 }
 
-// giveBack returns the slot of a request whose caller no longer waits, and cause.
-func (s *Service) giveBack(out Output, cause error) error {
+// returnUnused returns the slot of a request whose caller no longer waits, and cause.
+func (s *Service) returnUnused(out Output, cause error) error {
 	if slot, err := s.toSlot(out); err == nil {
 		s.Push(SlotReturned{Slot: slot, Result: leaseholder.ResultUnused})
 	}
