--- a/gateway/services/scheduler/simulation_test.go
+++ b/gateway/services/scheduler/simulation_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -10,7 +9,6 @@
 
 	"github.com/redwingledge/redwingledge/gateway/models/viewer"
 	"github.com/redwingledge/redwingledge/gateway/services/granter"
-	"github.com/redwingledge/redwingledge/gateway/services/leaseholder"
 	"github.com/redwingledge/redwingledge/gateway/services/queuer"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
 )
@@ -61,23 +59,6 @@
 
 type policy func(s *simulation, name string) stepper
 
-// simServer is a simulated backend server. It sheds requests beyond its slots at once. While it
-// is cold, it has one slot and takes three times as long for a request.
-type simServer struct {
-	record     announcer.Record
-	slots      int
-	coldUntil  time.Time
-	running    int
-	peak       int
-	executions map[*execution]bool
-}
-
-// execution is a request that a simulated backend server runs.
-type execution struct {
-	gateway *gateway
-	out     Start
-}
-
 type request struct {
 	clientAccount string
 	arrived       time.Time
@@ -95,32 +76,6 @@
 	retryTokens                                     float64
 }
 
-type event struct {
-	due        time.Time
-	sequence   uint64
-	gateway    *gateway
-	generation int
-	action     func()
-}
-
-type eventQueue []*event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].due.Equal(q[j].due) {
-		return q[i].due.Before(q[j].due)
-	}
-	return q[i].sequence < q[j].sequence
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(*event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 const (
 	simServiceTime = 50 * time.Millisecond // mean, exponential
 	simDeadline    = time.Second
@@ -184,37 +139,6 @@
 	}, rand.New(rand.NewPCG(s.rng.Uint64(), 4)))
 }
 
-// schedule runs an action at a process after a delay. The action is postponed while the process
-// is frozen and dropped if the process has been restarted. Actions without a process run in the
-// network.
-func (s *simulation) schedule(delay time.Duration, g *gateway, action func()) {
-	s.lastSequence++
-	e := &event{due: s.now.Add(delay), sequence: s.lastSequence, gateway: g, action: action}
-	if g != nil {
-		e.generation = g.generation
-	}
-	heap.Push(&s.events, e)
-}
-
-func (s *simulation) runUntil(end time.Time) {
-	for len(s.events) > 0 && s.events[0].due.Before(end) {
-		e := heap.Pop(&s.events).(*event)
-		s.now = e.due
-		if g := e.gateway; g != nil {
-			if g.generation != e.generation {
-				continue
-			}
-			if s.now.Before(g.frozenUntil) {
-				e.due = g.frozenUntil
-				heap.Push(&s.events, e)
-				continue
-			}
-		}
-		e.action()
-	}
-	s.now = end
-}
-
 // delay returns a random one-way delay between two data centres.
 func (s *simulation) delay(a, b string) time.Duration {
 	jitter := time.Duration(s.rng.IntN(200)) * time.Microsecond
@@ -273,123 +197,6 @@
 	return s.now.Before(s.partitions[[2]string{a.name, b.name}]) || s.now.Before(s.partitions[[2]string{b.name, a.name}])
 }
 
-func (s *simulation) dispatch(g *gateway, out Start) {
-	if s.hedging != nil && s.requests[out.Request] == nil {
-		s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultUnused})
-		return
-	}
-	if !s.ignoreLease && !s.now.Before(out.Slot.Until) {
-		s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultUnused})
-		s.enqueue(g, out.Request, true)
-		return
-	}
-	srv := s.servers[out.Slot.ID]
-	sent, generation := s.now, g.generation
-	if s.hedging != nil {
-		s.hedging.dispatch(s, g, out)
-	}
-	s.schedule(s.delay(g.dataCentre, srv.record.DataCentre), nil, func() {
-		if generation == g.generation {
-			s.serve(g, srv, out, sent)
-		}
-	})
-}
-
-func (s *simulation) serve(g *gateway, srv *simServer, out Start, sent time.Time) {
-	if s.hedging.isCancelled(out) {
-		return
-	}
-	isCold := s.now.Before(srv.coldUntil)
-	slots, factor := srv.slots, 1.0
-	if isCold {
-		slots, factor = 1, 3
-	}
-	srv.running++
-	srv.peak = max(srv.peak, srv.running)
-	if srv.running > srv.slots && s.violation == nil {
-		s.violation = fmt.Errorf("%d requests at %s with %d slots at %v", srv.running, srv.record.ID, srv.slots, s.now.Sub(s.start))
-	}
-	if srv.running > slots {
-		srv.running--
-		s.reply(g, srv, func() { s.shed(g, out) })
-		return
-	}
-	work := time.Duration(s.rng.ExpFloat64() * factor * float64(simServiceTime))
-	if s.hedging != nil {
-		work = s.hedging.work(out)
-	}
-	r := &execution{gateway: g, out: out}
-	srv.executions[r] = true
-	s.schedule(work, nil, func() {
-		if srv.executions[r] {
-			delete(srv.executions, r)
-			srv.running--
-			s.reply(g, srv, func() { s.complete(g, out, sent) })
-		}
-	})
-}
-
-// cancel ends the requests of a killed gateway.
-func (srv *simServer) cancel(g *gateway) {
-	for r := range srv.executions {
-		if r.gateway == g {
-			delete(srv.executions, r)
-			srv.running--
-		}
-	}
-}
-
-func (s *simulation) reply(g *gateway, srv *simServer, action func()) {
-	s.schedule(s.delay(g.dataCentre, srv.record.DataCentre), g, action)
-}
-
-func (s *simulation) complete(g *gateway, out Start, sent time.Time) {
-	if s.hedging.isCancelled(out) {
-		return
-	}
-	if s.hedging != nil {
-		s.hedging.finish(s, g, out)
-	}
-	if r := s.requests[out.Request]; r != nil {
-		delete(s.requests, out.Request)
-		isInTime := s.now.Before(r.deadline)
-		if isInTime && !s.now.Before(s.result.from) && s.now.Before(s.result.to) {
-			s.result.completedInTime++
-		}
-		if s.isMeasured(r) && isInTime {
-			s.result.latencies[r.clientAccount] = append(s.result.latencies[r.clientAccount], s.now.Sub(r.arrived))
-		} else if s.isMeasured(r) {
-			s.result.failed++
-		}
-	}
-	s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultAnswered, Latency: s.now.Sub(sent)})
-}
-
-// shed retries the request if the retry budget of 10% allows it.
-func (s *simulation) shed(g *gateway, out Start) {
-	s.step(g, SlotReturned{Slot: out.Slot, Result: leaseholder.ResultShed})
-	r := s.requests[out.Request]
-	if r == nil {
-		return
-	}
-	if s.isMeasured(r) {
-		s.result.shed++
-	}
-	if r.attempts < 3 && s.result.retryTokens >= 1 {
-		s.result.retryTokens--
-		r.attempts++
-		if s.isMeasured(r) {
-			s.result.retries++
-		}
-		s.schedule(time.Duration(s.rng.IntN(40))*time.Millisecond, g, func() { s.enqueue(g, out.Request, true) })
-		return
-	}
-	delete(s.requests, out.Request)
-	if s.isMeasured(r) {
-		s.result.failed++
-	}
-}
-
 func (s *simulation) enqueue(g *gateway, id uint64, retry bool) {
 	r := s.requests[id]
 	if r == nil {
