--- a/control/routers/exchanger/fetching.go
+++ b/control/routers/exchanger/fetching.go
@@ -37,8 +37,8 @@
 	unknownServiceLoggedAt time.Time
 }
 
-// Run fetches the partial sums of the other replicas until ctx ends, while entries ask for the sums. Each replica is called on its own
-// goroutine, so that one that is silent does not delay the others.
+// Run fetches the partial sums of the other replicas until ctx ends, while entries ask for the sums. Each
+// replica is called on its own goroutine, so that one that is silent does not delay the others.
 func (e *Exchanger) Run(ctx context.Context) {
 	ticks := e.options.Clock.Subscribe("partial loads", fetchPeriod)
 	defer ticks.Cancel()
--- a/control/services/aggregator/aggregator_test.go
+++ b/control/services/aggregator/aggregator_test.go
@@ -61,7 +61,7 @@
 	requireSums(t, a.Summary(start.Add(6*time.Second)), 0, 0, 0)
 }
 
-// Guards against a reporter that lies and so moves the sums far, up or down, also where it is alone.
+// Guards against a reporter with false figures that moves the sums far, up or down, also where it is alone.
 func TestLyingReporterMovesSumsLittle(t *testing.T) {
 	t.Parallel()
 	for lie, sums := range map[uint32][2]uint32{loadsharer.MaxFigure: {20*10 + 40, 20*3 + 12}, 1: {20*10 + 1, 20*3 + 1}} {
@@ -91,7 +91,7 @@
 }
 
 // Guards against a cap that cuts the many requests of few reporters of one data centre to 4 times the few
-// of the many reporters of the others, and against one that lets a liar move the sum further than 4 times
+// of the many reporters of the others, and against one that lets a faulty reporter move the sum further than 4 times
 // the median of its own data centre, or of all reporters where its data centre has fewer than 3.
 func TestCapFollowsDataCentreOfReporter(t *testing.T) {
 	t.Parallel()
--- a/control/services/aggregator/collection.go
+++ b/control/services/aggregator/collection.go
@@ -12,7 +12,7 @@
 const (
 	// A contribution is capped at max(minCap, capFactor times the median).
 	minCap, capFactor = 8, 4
-	// minMedianReporters is the smallest number of reporters whose median one that lies cannot set.
+	// minMedianReporters is the smallest number of reporters whose median a single faulty one cannot set.
 	minMedianReporters = 3
 )
 
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -173,7 +173,7 @@
 		m.tickLeading()
 		return
 	}
-	// A replica whose vote is being stored is a candidate already, and one with a slow disk is a bad leader.
+	// A replica whose vote is being stored is a candidate already, and one with a slow disk should not lead.
 	if m.isSaving() {
 		return
 	}
--- a/entry/routers/loadexchanger/loadexchanger.go
+++ b/entry/routers/loadexchanger/loadexchanger.go
@@ -200,6 +200,7 @@
 	}
 	var invalid loadsharer.ErrInvalid
 	if errors.As(err, &invalid) {
+		// gRPC itself never returns this code, so it stands for answers that break a rule.
 		code = codes.DataLoss
 	}
 	e.failure = code
@@ -224,6 +225,7 @@
 	case codes.DataLoss:
 		return "invalid_answer"
 	case codes.Internal:
+		// gRPC returns this code for messages that the codec cannot read.
 		return "unreadable"
 	case codes.InvalidArgument, codes.FailedPrecondition, codes.PermissionDenied, codes.ResourceExhausted:
 		return "refused"
--- a/entry/services/leaser/leaser.go
+++ b/entry/services/leaser/leaser.go
@@ -56,7 +56,7 @@
 
 // Counts are the counters of a Machine. Metric names are derived from the field names.
 // ColdRestarts counts the ramps that were restarted after failures, Reinstated the records
-// whose earlier announcement was believed again.
+// that went back to an earlier announcement.
 type Counts struct {
 	Applied, Renewed, Forwarded, Stale          uint64
 	Lapses, Restores, RampSteps, ColdRestarts   uint64
--- a/gateway/services/leaseholder/leaseholder.go
+++ b/gateway/services/leaseholder/leaseholder.go
@@ -28,7 +28,7 @@
 	// the owner can pass it on to a gateway that waits. Leases shorter than four times this are
 	// renewed after a quarter of their duration.
 	renewalInterval = 250 * time.Millisecond
-	// contentionTime is how long an owner's word that another gateway waits for a slot counts. An
+	// contentionTime is how long an owner's answer that another gateway waits for a slot counts. An
 	// owner counts a gateway as waiting for 60 ms, and one that is refused asks again after at most
 	// 40 ms.
 	contentionTime = 100 * time.Millisecond
