--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -71,7 +71,7 @@
 }
 
 // isFirstRequest reports whether a packet belongs to the first request of the flow.
-func (f *flow) isFirstRequest(p Packet) bool { return !f.isReused && !(f.isAnswered && p.HasData) }
+func (f *flow) isFirstRequest(p Packet) bool { return !f.isReused && (!f.isAnswered || !p.HasData) }
 
 func (b *Balancer) track(key flowKey, f flow) *flow {
 	if len(b.flows) >= b.settings.MaxFlows {
