Detect changes of the rotation without second openings

The signs that flows may move to other entries were detected by the hedger and the balancer, and only if second openings are on. Resets of refused copies of opening packets need them, too.

Package detector keeps the signs; the balancer asks it for reason rotation. The hedger no longer knows about the rotation, so that Withhold gets it as an argument; TestWithhold passes it instead of calling RecordChange and checks as much as before.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/services/admitter"
+	"github.com/redwingledge/redwingledge/entry/services/detector"
 	"github.com/redwingledge/redwingledge/entry/services/hedger"
 	"github.com/redwingledge/redwingledge/shared/models/director"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -56,6 +57,7 @@
 	flows       map[flowKey]*flow
 	// admitter is nil if new flows are not limited.
 	admitter *admitter.Admitter
+	detector detector.Detector
 }
 
 // New returns a Balancer without a view.
@@ -94,7 +96,7 @@
 		}
 	}
 	b.index, b.updatedAt = index, now
-	b.holdSecondOpenings(changes, complete, now)
+	b.detector.RecordChanges(changes, complete, now)
 	if b.settings.Clock != nil {
 		b.confirmedAt = b.settings.Clock.Now()
 	}
@@ -112,6 +114,13 @@
 	return b.directory.Version > 0
 }
 
+// LeaveRotation withholds second openings before the routers send the flows of this entry through others.
+func (b *Balancer) LeaveRotation() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.detector.Stop()
+}
+
 // Status describes the view for counters.
 type Status struct {
 	Index   uint64 `json:"index"`
--- a/entry/services/balancer/second_opening.go
+++ b/entry/services/balancer/second_opening.go
@@ -48,15 +48,6 @@
 	return b.settings.Hedger.Delay()
 }
 
-// StopSecondOpenings ends second openings before the entry leaves the rotation.
-func (b *Balancer) StopSecondOpenings() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.settings.Hedger != nil {
-		b.settings.Hedger.Stop()
-	}
-}
-
 // SecondOpenings appends the decisions on the opening packets whose answers have become late, and reports
 // whether others are pending. It is to be called about every 10 ms while they are, because a longer gap is
 // taken for a pause of the process.
@@ -84,7 +75,7 @@
 	decision := SecondOpening{
 		Opening: opening, First: f.token, View: View{Index: b.index, Version: b.directory.Version, Age: now.Sub(b.updatedAt)},
 	}
-	if decision.Withheld = h.Withhold(opening, now); decision.Withheld != hedger.ReasonNone {
+	if decision.Withheld = h.Withhold(opening, b.detector.IsChanging(now), now); decision.Withheld != hedger.ReasonNone {
 		return decision
 	}
 	if decision.View.Age > maxFreshViewAge {
@@ -188,15 +179,11 @@
 // counts as an opening packet without an answer: no copy of the caller follows that would show it.
 func (b *Balancer) recordOpened(p Packet, f *flow, holder director.Token, now time.Time) director.Token {
 	h := b.settings.Hedger
+	if f == nil && p.HasData && !p.IsReset {
+		b.detector.RecordForeignFlow(now)
+	}
 	switch {
-	case h == nil || p.IsReset:
-		return 0
-	case f == nil:
-		if p.HasData {
-			h.RecordForeignFlow(now)
-		}
-		return 0
-	case f.isEstablished:
+	case h == nil || f == nil || p.IsReset || f.isEstablished:
 		return 0
 	case f.second == nil:
 		if holder == f.token && f.retransmissions == 0 {
@@ -229,26 +216,6 @@
 	}
 }
 
-// holdSecondOpenings records changes of the view after which flows may move to other entries: an entry joins,
-// a data centre is taken out or brought back, or the configuration changes. A complete view shows that this
-// entry has started or lagged behind.
-func (b *Balancer) holdSecondOpenings(changes []director.Change, complete bool, now time.Time) {
-	if b.settings.Hedger == nil {
-		return
-	}
-	movesFlows := complete
-	for _, change := range changes {
-		switch change.(type) {
-		case director.ServerChanged, director.ServerRemoved:
-		default:
-			movesFlows = true
-		}
-	}
-	if movesFlows {
-		b.settings.Hedger.RecordChange(now)
-	}
-}
-
 // recordRefusal records a new flow that was refused because of load.
 func (b *Balancer) recordRefusal(p Packet, v Verdict, now time.Time) {
 	if b.settings.Hedger != nil && p.IsOpening && isLoadReason(v.Reason) {
--- a/entry/services/hedger/hedger.go
+++ b/entry/services/hedger/hedger.go
@@ -29,12 +29,6 @@
 	alwaysAllowedLate = 1
 	// refusalHold is how long second openings are withheld after a new flow was refused because of load.
 	refusalHold = time.Second
-	// changeHold is how long they are withheld after a sign that the routers may send the flows of one entry
-	// through others. The platform removes an entry after two failed probes, which takes 1 s.
-	changeHold = 2 * time.Second
-	// foreignFlows is the number of flows of other entries within a second that is taken for a change of the
-	// rotation. Single ones are flows that were idle for longer than the idle timeout.
-	foreignFlows = 3
 	// maxCheckGap is the longest time between two calls of Check while an opening is pending. After a longer
 	// one the process was paused, and acknowledgements may still wait in its socket.
 	maxCheckGap = 30 * time.Millisecond
@@ -71,12 +65,10 @@
 	delays   delayEstimator
 	// openings and late count the openings that were answered, or became late, in the last second.
 	openings, late slidingCount
-	foreign        slidingCount
 	tokens         float64
-	// heldUntil is when the hold of each reason ends.
-	heldUntil [reasonCount]time.Time
-	checkedAt time.Time
-	isStopped bool
+	// refusalHoldEnd is when the hold after a refusal ends.
+	refusalHoldEnd time.Time
+	checkedAt      time.Time
 }
 
 // New returns a Hedger, or an error if a setting is out of range.
@@ -140,18 +132,15 @@
 	return opening, ok
 }
 
-// Withhold returns why no second packet of a late opening may be sent now, or ReasonNone. It records the
-// opening as late.
-func (h *Hedger) Withhold(opening Opening, now time.Time) Reason {
+// Withhold returns why no second packet of a late opening may be sent now, or ReasonNone. isRotating is set if
+// flows may move to other entries. It records the opening as late.
+func (h *Hedger) Withhold(opening Opening, isRotating bool, now time.Time) Reason {
 	openings, late := h.openings.sum(now), h.late.sum(now)
 	h.late.increment(now)
-	for reason, until := range h.heldUntil {
-		if now.Before(until) {
-			return Reason(reason)
-		}
-	}
 	switch {
-	case h.isStopped:
+	case now.Before(h.refusalHoldEnd):
+		return ReasonRefusals
+	case isRotating:
 		return ReasonRotation
 	case now.Sub(opening.OpenedAt) >= copyDelay:
 		return ReasonOverdue
@@ -170,21 +159,5 @@
 
 // RecordRefusal records that a new flow was refused because of load.
 func (h *Hedger) RecordRefusal(now time.Time) {
-	h.heldUntil[ReasonRefusals] = now.Add(refusalHold)
-}
-
-// RecordChange records a sign that flows may move to other entries.
-func (h *Hedger) RecordChange(now time.Time) {
-	h.heldUntil[ReasonRotation] = now.Add(changeHold)
-}
-
-// Stop withholds all second openings from now on, because the entry leaves the rotation.
-func (h *Hedger) Stop() { h.isStopped = true }
-
-// RecordForeignFlow records data of a flow that another entry has carried before.
-func (h *Hedger) RecordForeignFlow(now time.Time) {
-	h.foreign.increment(now)
-	if h.foreign.sum(now) >= foreignFlows {
-		h.RecordChange(now)
-	}
+	h.refusalHoldEnd = now.Add(refusalHold)
 }
--- a/entry/services/hedger/hedger_test.go
+++ b/entry/services/hedger/hedger_test.go
@@ -22,7 +22,7 @@
 		hedger.ReasonNone:         func(*hedger.Hedger, time.Time) {},
 		hedger.ReasonLimit:        func(h *hedger.Hedger, _ time.Time) { h.Spend() },
 		hedger.ReasonRefusals:     func(h *hedger.Hedger, now time.Time) { h.RecordRefusal(now) },
-		hedger.ReasonRotation:     func(h *hedger.Hedger, now time.Time) { h.RecordChange(now) },
+		hedger.ReasonRotation:     func(*hedger.Hedger, time.Time) {},
 		hedger.ReasonLateOpenings: func(h *hedger.Hedger, now time.Time) { answer(h, 2, 70*time.Millisecond, now) },
 		hedger.ReasonSlowOpenings: func(h *hedger.Hedger, now time.Time) { answer(h, 112, 170*time.Millisecond, now.Add(-2*time.Second)) },
 	} {
@@ -36,7 +36,7 @@
 			require.Zero(t, h.Open(hedger.Flow{}, true, start))
 			record(h, now)
 			opening, _ := h.NextLate(now)
-			require.Equal(t, reason, h.Withhold(opening, now))
+			require.Equal(t, reason, h.Withhold(opening, reason == hedger.ReasonRotation, now))
 		})
 	}
 }
