Reset refused copies of opening packets if no entry forwarded one

A copy of an opening packet that is refused because of load was dropped, as another entry may have forwarded the first. If the first reset was withheld or lost, the caller waited up to 1.4 s. The copy is now reset, within the limit of the link, if this entry has refused the first and all copies before it, and nothing of the last 2 s shows a pause or a change of the rotation.

TestOverloadRefusals and TestSharedLoadFaults demanded that no copy is ever reset. They now demand that no flow is reset of which any entry forwards an opening packet before the reset is sent, before it arrives or later, and still that no open flow is.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -55,9 +55,10 @@
 	confirmedAt time.Time
 	selector    *selector
 	flows       map[flowKey]*flow
-	// admitter is nil if new flows are not limited.
-	admitter *admitter.Admitter
-	detector detector.Detector
+	// admitter and refusedOpenings are nil if new flows are not limited.
+	admitter        *admitter.Admitter
+	refusedOpenings *refusedOpenings
+	detector        detector.Detector
 }
 
 // New returns a Balancer without a view.
@@ -68,6 +69,7 @@
 	}
 	if settings.Overload != nil {
 		b.admitter = admitter.New(*settings.Overload)
+		b.refusedOpenings = newRefusedOpenings()
 	}
 	return b
 }
@@ -95,6 +97,7 @@
 			b.directory.Apply(change)
 		}
 	}
+	b.detectSuspension(now)
 	b.index, b.updatedAt = index, now
 	b.detector.RecordChanges(changes, complete, now)
 	if b.settings.Clock != nil {
@@ -114,7 +117,8 @@
 	return b.directory.Version > 0
 }
 
-// LeaveRotation withholds second openings before the routers send the flows of this entry through others.
+// LeaveRotation withholds second openings and resets of copies before the routers send the flows of this entry
+// through others.
 func (b *Balancer) LeaveRotation() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -141,6 +145,7 @@
 func (b *Balancer) Decide(p Packet, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.detector.RecordPacket(now)
 	f := b.flows[keyOf(p)]
 	isFirstRequest := f != nil && f.isFirstRequest(p)
 	verdict := b.decide(p, now)
@@ -209,29 +214,14 @@
 	return Verdict{Action: action, Reason: reason, Server: server, IsTracked: ok && f.isEstablished}
 }
 
-// refuseOpening refuses the opening packet of a flow that this entry does not know. Only a first one that was
-// read in time is answered with a reset: the others may have been overtaken by a copy through another entry,
-// and the flow be open.
-func (b *Balancer) refuseOpening(p Packet, reason Reason) Verdict {
-	if p.Retransmissions > 0 {
-		return b.refuse(p, ActionDrop, reason)
-	}
-	if p.Waited < maxOpeningWait {
-		return b.refuse(p, ActionReset, reason)
-	}
-	v := b.refuse(p, ActionDrop, reason)
-	v.IsLate = true
-	return v
-}
-
 // refuseUnknownAddress refuses a packet to an address without a route. It resets the flow only if no
 // entry that knows of a newer configuration can have opened it, and the view is not out of date.
 func (b *Balancer) refuseUnknownAddress(p Packet, now time.Time) Verdict {
 	switch {
-	case now.Sub(b.updatedAt) > maxFreshViewAge || b.settings.Clock != nil && b.settings.Clock.Now().Sub(b.confirmedAt) > maxFreshViewAge:
+	case b.isViewOld(now):
 		return b.refuse(p, ActionDrop, ReasonStaleView)
 	case p.IsOpening:
-		return b.refuseOpening(p, ReasonNoRoute)
+		return b.refuseOpening(p, ReasonNoRoute, now)
 	case b.hasLostRoute(p):
 		return b.refuse(p, ActionReset, ReasonNoRoute)
 	default:
@@ -272,7 +262,7 @@
 		var reason Reason
 		admitTo := func(service string) (bool, Reason) { return b.admitTo(route, service, now) }
 		if service, reason = admit(route, service, admitTo); reason != ReasonNone {
-			return b.refuseOpening(p, reason)
+			return b.refuseOpening(p, reason, now)
 		}
 	}
 	token := b.pick(route, service, tried, now)
@@ -281,9 +271,12 @@
 		if isKnown {
 			return b.refuse(p, ActionDrop, ReasonNoServer)
 		}
-		return b.refuseOpening(p, ReasonNoServer)
+		return b.refuseOpening(p, ReasonNoServer, now)
 	}
 	b.untrack(key, now)
+	if b.refusedOpenings != nil {
+		b.refusedOpenings.recordForwarded(p, now)
+	}
 	placement := b.selector.describe(server, tried, now)
 	f := b.track(key, flow{token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now, linkWait: b.linkWait(now)})
 	return Verdict{Action: ActionForward, Server: server, Placement: placement, Ticket: b.offerSecondOpening(p, f, route, tried, now)}
--- a/entry/services/balancer/overload_callers_test.go
+++ b/entry/services/balancer/overload_callers_test.go
@@ -35,6 +35,8 @@
 	server, comingTo   *modelServer // server is nil until the flow is open
 	sequence, received uint32
 	isClosed           bool
+	// isForwarded is set once an entry has forwarded an opening packet, and isReset once a reset has arrived.
+	isForwarded, isReset bool
 }
 
 // repeat sends a packet until it is no longer needed, and four times at most.
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -25,7 +25,8 @@
 	Retransmissions uint32
 	// IsReset and IsFinal are set if the caller ends the flow.
 	IsReset, IsFinal bool
-	// HasData is set if the packet carries data of the caller, which starts at Sequence.
+	// HasData is set if the packet carries data of the caller, which starts at Sequence. An opening packet and its
+	// copies have the sequence at which the flow starts.
 	HasData  bool
 	Sequence uint32
 	// Size is the number of bytes that the packet takes on the link of the entry when it is forwarded, and
