Refuse copies of opening packets only while the link has room

Change: a copy is reset only while the link limits no new flow, and dropped as before otherwise. The wait for a link without a rate is 0 instead of the result of a division by 0.

--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -212,6 +212,9 @@
 
 // wait returns how long a packet that is sent now waits for the link.
 func (l *linkLimiter) wait() time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
 	return time.Duration(l.queue / l.rate * float64(time.Second))
 }
 
--- a/entry/services/balancer/admission.go
+++ b/entry/services/balancer/admission.go
@@ -34,9 +34,14 @@
 	return b.admitter.LinkWait(now)
 }
 
-// limitRefusal drops an opening packet instead of refusing it if the link has no room for the reset.
+// limitRefusal drops an opening packet instead of refusing it if the link has no room for the reset. A copy is
+// refused only while the link limits no flow: on deployment R above its capacity, resets of copies took so much of
+// the links that fewer callers were served.
 func (b *Balancer) limitRefusal(p Packet, v Verdict, now time.Time) Verdict {
-	if v.Action == ActionReset && p.IsOpening && !b.admitter.MayRefuse(p.ResetSize, now) {
+	if v.Action != ActionReset || !p.IsOpening {
+		return v
+	}
+	if !b.admitter.MayRefuse(p.ResetSize, now) || p.Retransmissions > 0 && b.admitter.IsLimiting(now) {
 		v.Action, v.IsWithheld = ActionDrop, true
 	}
 	return v
