Serve no less with overload control than without it

The highest rank was admitted with up to 7.5 requests for each slot, but backend servers have room for 5, so that they rejected more than they served and what that took on the links left none for refusals. A burst filled all queues before shared figures showed it. Requests that wait for the link of the entry counted as in progress at backend servers. The lowest share counted copies and retries of opening packets, a fifth of the link at 8 times the capacity. Change: a flow is reset for lack of room on the link only while nothing waits for it, or while the slots are used as well; copies of opening packets find half of the share of a first one; the bucket is never below the queue, so that the whole rate is used; at most 4 requests for each slot; flows of lower ranks are refused from 2 standard deviations above the share of the entry without waiting for shared figures, and long ones from 1.5 instead of 2.5 (4 at low use); requests that wait for the link do not count; requests expire after 250 ms instead of 1 s once response times are known; flows for the lowest share take 0.05 of the link beyond what the highest rank leaves.

--- a/entry/services/admitter/admitter.go
+++ b/entry/services/admitter/admitter.go
@@ -67,6 +67,8 @@
 	Service string
 	// Priority is that of its route; 0 is the highest.
 	Priority uint8
+	// IsCopy is set if the caller has sent the opening packet before.
+	IsCopy bool
 	// Load is the load of the service.
 	Load Load
 }
@@ -77,8 +79,8 @@
 	link     linkLimiter
 	// ranks are the priorities of the flows to all services, which share the link.
 	ranks RankTracker
-	// credits adds up LowestShare for each new flow of a lower rank; at 1 such a flow counts as one of the
-	// highest rank. Each request of the rank that is served otherwise takes 1 off, down to 0: long flows that
+	// credits adds up LowestShare for each new flow of a lower rank, without copies of opening packets; at 1 such
+	// a flow counts as one of the highest rank. Each request of the rank that is served otherwise takes 1 off, down to 0: long flows that
 	// were admitted in this way carry many requests each, and would add up to fill the link.
 	credits map[creditKey]float64
 }
@@ -124,7 +126,7 @@
 func (a *Admitter) Decide(f Flow, now time.Time) Reason {
 	ranks := a.ranks.Record(f.Priority, now)
 	isPromoted := false
-	if key := (creditKey{service: f.Service, priority: f.Priority}); f.Priority > ranks.highest() {
+	if key := (creditKey{service: f.Service, priority: f.Priority}); f.Priority > ranks.highest() && !f.IsCopy {
 		if a.credits[key] += a.settings.LowestShare; a.credits[key] >= 1 {
 			a.credits[key]--
 			isPromoted = true
@@ -141,22 +143,33 @@
 	serviceUrgency, share := f.Load.Ranks.urgency(f.Priority), shareOf(ranks.urgency(f.Priority))
 	switch {
 	case isPromoted:
-		serviceUrgency, share = 1, promotedShare
+		serviceUrgency, share = 1, shareOf(1).forPromoted()
 	case len(ranks) < 2:
 		share = onlyShare
 	}
-	if f.Load.isExhausted() && f.Load.isOwnShareUsed(serviceUrgency) || f.Load.hasTooManyLongFlows(serviceUrgency) {
+	if f.IsCopy {
+		share = share.forCopy()
+	}
+	isOverCapacity := f.Load.isExhausted() && f.Load.isOwnShareUsed(serviceUrgency)
+	if isOverCapacity || f.Load.isOwnShareFarExceeded(serviceUrgency) || f.Load.hasTooManyLongFlows(serviceUrgency) {
 		return ReasonOverCapacity
 	}
-	if !a.link.admit(share, now) {
+	switch {
+	case a.link.admit(share, now):
+		return ReasonNone
+	case f.Load.isExhausted():
+		// More room on the link would not serve the flow.
+		return ReasonOverCapacity
+	default:
 		return ReasonLinkFull
 	}
-	return ReasonNone
 }
 
 // MayRefuse reports whether the link has room for the refusal of a new flow, of the given size in bytes. Without
 // room the opening packet is better left unanswered.
-func (a *Admitter) MayRefuse(size int, now time.Time) bool { return a.link.mayRefuse(size, now) }
+func (a *Admitter) MayRefuse(reason Reason, size int, now time.Time) bool {
+	return a.link.mayRefuse(reason, size, now)
+}
 
 // IsLimiting reports whether the link limits new flows at present.
 func (a *Admitter) IsLimiting(now time.Time) bool { return a.link.isLimiting(now) }
--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// usualLinkUse is the share of the rate that new flows and refusals may fill. The rest is left for what the
-	// entry exchanges with control.
-	usualLinkUse = 0.95
+	// usualLinkUse is the share of the rate that new flows and refusals may fill. The queue is known, so that
+	// nothing has to be left unused. What the entry exchanges with control takes less than 0.005 of the link.
+	usualLinkUse = 1.0
 	// lossyLinkUse limits that share for lossMemory after a link has lost packets. Finding that out again takes the
 	// 200 ms after which callers send packets again, and is to cost little of the time.
 	lossyLinkUse = 0.8
@@ -39,9 +39,19 @@
 	// reservedUse is the share of the rate that flows of the highest rank, or of the only one, find also where open
 	// flows fill the link.
 	reservedUse = 0.25
+	// copyShare is the part of its share of the link that a flow may use whose first opening packet was not
+	// answered. Its caller has lost the time of the target latency, and that of another flow has not.
+	copyShare = 0.5
+	// promotedUse is the share of the rate that flows which keep a lower rank from starving find also where the
+	// highest rank fills the link. They are a part of the attempts to open a flow, of which refused callers make
+	// many, so that without this limit they took a fifth of the link from the highest rank.
+	promotedUse = 0.05
 	// maxRefusalQueue is the wait from which refusals are withheld. A lost packet of an open flow costs its caller
 	// 200 ms.
 	maxRefusalQueue = maxQueue / 2
+	// maxLinkRefusalQueue is the same for flows that the link has no room for. Three refusals take 300 bytes of the
+	// 1,340 of a request, so that they are sent only where they displace none.
+	maxLinkRefusalQueue = maxQueue / 100
 	// busyLinkUse is the share of the rate from which loss and delay are taken for signs of a full link.
 	// Below it they have other causes, such as a backend server that does not answer.
 	busyLinkUse = 0.4
@@ -72,7 +82,7 @@
 
 // linkLimiter limits what the entry sends on its link. queue follows the packets that were sent, and level is a
 // leaky bucket that is charged at once with all that a new flow is expected to send, so that the first moment of
-// a burst is not admitted as a whole. Packets that callers send to the entry use the other direction of the link,
+// a burst is not admitted as a whole. It is never below the queue. Packets that callers send to the entry use the other direction of the link,
 // which has fewer bytes to carry.
 type linkLimiter struct {
 	// rate is that of the link in bytes per second; 0 sets no limit.
@@ -87,13 +97,13 @@
 	filledAt time.Time
 	// level is the fill of the bucket in bytes.
 	level float64
-	// refusals and reserved are the fills in bytes of the bucket of refusals and of that of the flows that have a
-	// reserved share.
-	refusals, reserved float64
-	drainedAt          time.Time
-	flowBytes          float64
-	baseline           baseline
-	window             linkWindowCounts
+	// refusals, reserved and promoted are the fills in bytes of the buckets of refusals, of the flows that have a
+	// reserved share and of those that keep a lower rank from starving.
+	refusals, reserved, promoted float64
+	drainedAt                    time.Time
+	flowBytes                    float64
+	baseline                     baseline
+	window                       linkWindowCounts
 }
 
 // linkWindowCounts holds what was counted in one window.
@@ -119,6 +129,7 @@
 	if l.queue += float64(p.Size); l.queue > l.rate*maxQueue.Seconds() {
 		l.queue, l.filledAt = l.rate*maxQueue.Seconds(), now
 	}
+	l.level = max(l.level, l.queue)
 	l.window.bytes += p.Size
 	switch {
 	case p.IsRefusal:
@@ -151,8 +162,9 @@
 	// level is the fill of the bucket up to which the flow is admitted, and wait the longest wait for the link.
 	level float64
 	wait  time.Duration
-	// isReserved is set if the flow may use the reserved share of the link beyond that.
-	isReserved bool
+	// isReserved is set if the flow may use the reserved share of the link beyond that, and isPromoted if it may
+	// use that of the flows which keep a lower rank from starving.
+	isReserved, isPromoted bool
 }
 
 // shareOf returns the share of a flow. urgency is 1 for the highest rank and 0 for the lowest.
@@ -163,12 +175,21 @@
 	return linkShare{level: openFlowLevel + (1-openFlowLevel)*urgency, wait: maxHigherRankQueue, isReserved: urgency >= 1}
 }
 
-// Shares of flows whose rank does not tell it: those beside which there is no other rank, as nothing has to give
-// way to them, and those that keep a lower rank from starving.
-var (
-	onlyShare     = linkShare{level: lowestRankLevel, wait: maxHigherRankQueue, isReserved: true}
-	promotedShare = linkShare{level: 1.1, wait: maxQueue}
-)
+// onlyShare is that of flows beside which there is no other rank, as nothing has to give way to them.
+var onlyShare = linkShare{level: lowestRankLevel, wait: maxHigherRankQueue, isReserved: true}
+
+// forPromoted returns the share of the highest rank for a flow that keeps a lower rank from starving.
+func (s linkShare) forPromoted() linkShare {
+	s.isReserved, s.isPromoted = false, true
+	return s
+}
+
+// forCopy returns the share of a flow whose first opening packet was not answered.
+func (s linkShare) forCopy() linkShare {
+	s.level *= copyShare
+	s.wait = time.Duration(float64(s.wait) * copyShare)
+	return s
+}
 
 // admit reports whether a new flow fits its share of the link.
 func (l *linkLimiter) admit(share linkShare, now time.Time) bool {
@@ -177,25 +198,32 @@
 	}
 	l.advance(now)
 	fits := l.level <= l.depth()*share.level && l.wait() <= share.wait
-	if !fits && !(share.isReserved && l.reserved <= 0) {
+	if !fits && !(share.isReserved && l.reserved <= 0) && !(share.isPromoted && l.promoted <= 0) {
 		l.window.refused++
 		return false
 	}
 	if share.isReserved {
 		l.reserved = min(l.reserved+l.flowBytes, l.depth())
 	}
+	if share.isPromoted {
+		l.promoted = min(l.promoted+l.flowBytes, l.depth())
+	}
 	l.window.admitted++
 	l.level += l.flowBytes
 	return true
 }
 
 // mayRefuse reports whether the link has room for a refusal of the given size.
-func (l *linkLimiter) mayRefuse(size int, now time.Time) bool {
+func (l *linkLimiter) mayRefuse(reason Reason, size int, now time.Time) bool {
 	if l.rate <= 0 {
 		return true
 	}
 	l.advance(now)
-	return l.refusals+float64(size) <= maxRefusalUse*l.depth() && l.wait() <= maxRefusalQueue
+	longest := maxRefusalQueue
+	if reason == ReasonLinkFull {
+		longest = maxLinkRefusalQueue
+	}
+	return l.refusals+float64(size) <= maxRefusalUse*l.depth() && l.wait() <= longest
 }
 
 // isLimiting reports whether the link refuses flows of the lowest rank.
@@ -204,7 +232,7 @@
 		return false
 	}
 	l.advance(now)
-	return l.level > l.depth()*lowestRankLevel
+	return l.level > l.depth()*lowestRankLevel || l.wait() > maxLowestRankQueue
 }
 
 // depth returns the size of the bucket in bytes.
@@ -231,6 +259,7 @@
 		l.level = max(l.level-l.use*carried, 0)
 		l.refusals = max(l.refusals-maxRefusalUse*carried, 0)
 		l.reserved = max(l.reserved-reservedUse*carried, 0)
+		l.promoted = max(l.promoted-promotedUse*carried, 0)
 		l.drainedAt = now
 	}
 	if now.Sub(l.window.startedAt) >= linkWindow {
--- a/entry/services/admitter/slots.go
+++ b/entry/services/admitter/slots.go
@@ -18,16 +18,19 @@
 	// minLongShare is the share of requests on open flows from which the flows of a priority count as long.
 	minLongShare = 0.5
 	// longFlowMargin is the number of standard deviations by which requests in progress exceed the share of the
-	// entry in the slots before long flows of lower ranks are refused. By chance alone 1 in 160 samples does at
-	// full use of the slots, and far fewer below it.
-	longFlowMargin = 2.5
-	// lowUseLongFlowMargin applies while the shared figures show less than lowSlotUse of the slots in use, as
-	// under usual load. Chance is the likelier cause then.
-	lowUseLongFlowMargin = 4.0
-	lowSlotUse           = 0.6
+	// entry in the slots before long flows of lower ranks are refused. With 2.5 such flows left the highest rank
+	// 0.93 of its requests at twice the capacity.
+	longFlowMargin = 1.5
+	// earlyMargin is the same for the limit on requests in progress, from which flows of lower ranks are refused
+	// before the shared figures show a burst.
+	earlyMargin = 2
 	// highestRankFactor is the part of its share that an entry may use for the highest rank, above 1, so
-	// that this rank is refused only when the others already are.
+	// that this rank is refused only when the others already are, up to highestRequestsPerSlot.
 	highestRankFactor = 2.5
+	// highestRequestsPerSlot limits the requests in progress for each slot from which the highest rank is refused.
+	// Backend servers with 2 slots and a queue of 8 have room for 5, and some of them are above the mean. With 7.5
+	// they rejected more requests than they served, which took half of the links.
+	highestRequestsPerSlot = 4.0
 	// maxSharedAge is the age from which shared figures are too old to refuse a flow by them.
 	maxSharedAge = 2 * time.Second
 )
@@ -45,7 +48,8 @@
 	Ranks  Ranks
 	Groups []GroupLoad
 	// OwnRequests is the number of requests in progress through this entry, of all priorities: if those of lower
-	// ones did not count, the highest would fill the links with requests that wait for a slot.
+	// ones did not count, the highest would fill the links with requests that wait for a slot. Those that wait for
+	// the link of the entry do not count.
 	OwnRequests int
 	// LongShare is the share of the last requests of the flow's priority that came on flows which had one
 	// before, 0 to 1.
@@ -81,6 +85,17 @@
 	return limit > 0 && float64(l.OwnRequests) >= limit
 }
 
+// isOwnShareFarExceeded reports whether the requests in progress through this entry exceed its share by more than
+// chance explains. A burst fills the queues of the backend servers before the figures of the other entries show
+// it, which leaves no room for the highest rank.
+func (l Load) isOwnShareFarExceeded(urgency float64) bool {
+	if len(l.Ranks) < 2 || urgency >= 1 || l.Age < 0 || l.Age > maxSharedAge || l.slots() == 0 {
+		return false
+	}
+	limit := l.ownLimit(0)
+	return limit > 0 && float64(l.OwnRequests) >= limit+earlyMargin*math.Sqrt(limit)
+}
+
 // hasTooManyLongFlows reports whether this entry must not open another long flow of a lower rank. Nothing
 // refuses the requests on a flow once it is open, and under load it has the next one as soon as one is answered.
 // As many such flows as slots therefore use all of them for as long as the load lasts. The figures of other
@@ -98,11 +113,7 @@
 		return 0
 	}
 	own := max(float64(slots)*share, 1)
-	margin := longFlowMargin
-	if l.requests() < lowSlotUse*float64(slots) {
-		margin = lowUseLongFlowMargin
-	}
-	return own + margin*math.Sqrt(own)
+	return own + longFlowMargin*math.Sqrt(own)
 }
 
 // ownLimit returns the number of requests in progress at which this entry has used its share, or 0 if the
@@ -112,7 +123,9 @@
 	if share == 0 {
 		return 0
 	}
-	return max(float64(l.slots())*l.requestsPerSlot()*share, 1) * (1 + (highestRankFactor-1)*urgency)
+	lowest := l.requestsPerSlot()
+	highest := min(lowest*highestRankFactor, highestRequestsPerSlot)
+	return max(float64(l.slots())*(lowest+(highest-lowest)*urgency)*share, 1)
 }
 
 // requests returns the requests in progress by the shared figures.
--- a/entry/services/balancer/admission.go
+++ b/entry/services/balancer/admission.go
@@ -36,7 +36,7 @@
 
 // limitRefusal drops an opening packet instead of refusing it if the link has no room for the reset.
 func (b *Balancer) limitRefusal(p Packet, v Verdict, now time.Time) Verdict {
-	if v.Action == ActionReset && p.IsOpening && !b.admitter.MayRefuse(p.ResetSize, now) {
+	if v.Action == ActionReset && p.IsOpening && !b.admitter.MayRefuse(admitterReasonOf(v.Reason), p.ResetSize, now) {
 		v.Action, v.IsWithheld = ActionDrop, true
 	}
 	return v
@@ -93,8 +93,21 @@
 	return ReasonNone
 }
 
+// admitterReasonOf returns the reason of the admitter for a refusal, or admitter.ReasonNone for one that has another
+// cause.
+func admitterReasonOf(reason Reason) admitter.Reason {
+	switch reason {
+	case ReasonOverCapacity:
+		return admitter.ReasonOverCapacity
+	case ReasonLinkFull:
+		return admitter.ReasonLinkFull
+	default:
+		return admitter.ReasonNone
+	}
+}
+
 // admitTo decides whether a service may get a new flow, if it has a backend server for one.
-func (b *Balancer) admitTo(route director.Route, service string, now time.Time) (hasServers bool, reason Reason) {
+func (b *Balancer) admitTo(route director.Route, service string, isCopy bool, now time.Time) (hasServers bool, reason Reason) {
 	groups := b.selector.groups(service)
 	if len(groups) == 0 {
 		return false, ReasonNone
@@ -109,7 +122,7 @@
 		}
 		s.nextProbeAt = now.Add(probeInterval)
 	}
-	flow := admitter.Flow{Service: service, Priority: route.Priority, Load: b.load(s, groups, route, isLinkLimiting, now)}
+	flow := admitter.Flow{Service: service, Priority: route.Priority, IsCopy: isCopy, Load: b.load(s, groups, route, isLinkLimiting, now)}
 	return true, reasonOf(b.admitter.Decide(flow, now))
 }
 
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -261,7 +261,7 @@
 	service := route.PickService(key.hashFraction())
 	if b.admitter != nil && !isKnown {
 		var reason Reason
-		admitTo := func(service string) (bool, Reason) { return b.admitTo(route, service, now) }
+		admitTo := func(service string) (bool, Reason) { return b.admitTo(route, service, p.Retransmissions > 0, now) }
 		if service, reason = admit(route, service, admitTo); reason != ReasonNone {
 			return b.refuseOpening(p, reason)
 		}
--- a/entry/services/balancer/service_load.go
+++ b/entry/services/balancer/service_load.go
@@ -25,8 +25,12 @@
 	// as in progress. A caller that has given up sends nothing, and neither does one whose flow its backend
 	// server has reset.
 	expiryFactor = 8
-	minExpiry    = time.Second
-	maxExpiry    = 2 * time.Second
+	// minExpiry is above the 200 ms after which callers send lost data again. A longer one refuses flows to a
+	// service with response times of 20 ms, although slots are free, for as long after packets were lost.
+	minExpiry = 250 * time.Millisecond
+	maxExpiry = 2 * time.Second
+	// firstExpiry applies until a response time is known.
+	firstExpiry = time.Second
 	// responseSmoothing is the weight of one response time in the smoothed one.
 	responseSmoothing = 0.05
 	// unloadedUse is the share of the slots in use below which requests do not wait for one.
@@ -70,8 +74,8 @@
 type groupLoad struct {
 	service    *serviceLoad
 	dataCentre string
-	// requests counts those through this entry, reported is the figure of its last report, and confirmed the
-	// one that shared contains. They differ while an exchange runs and after one that has failed.
+	// requests counts those through this entry, reported is the figure of its last report, which leaves out what
+	// waits for the link, and confirmed the one that shared contains. They differ while an exchange runs and after one that has failed.
 	requests, reported, confirmed int
 	// shared is the number through all entries at the time of the last summary.
 	shared float64
@@ -89,6 +93,8 @@
 type requestInProgress struct {
 	key   flowKey
 	since time.Time
+	// sentAt is when the link of the entry has carried the request.
+	sentAt time.Time
 }
 
 // longRequests tells how many of the last requests of one priority of a service came on long flows.
@@ -205,14 +211,14 @@
 }
 
 // begin counts a flow as having a request in progress at a group.
-func (g *groupLoad) begin(key flowKey, f *flow, now time.Time) {
+func (g *groupLoad) begin(key flowKey, f *flow, linkWait time.Duration, now time.Time) {
 	if f.progress != nil {
 		return
 	}
 	f.progress, f.progressSince = g, now
 	g.requests++
 	g.service.requests++
-	g.service.inProgress = append(g.service.inProgress, requestInProgress{key: key, since: now})
+	g.service.inProgress = append(g.service.inProgress, requestInProgress{key: key, since: now, sentAt: now.Add(linkWait)})
 }
 
 // endProgress ends the count of a flow's request, if it has one.
@@ -253,6 +259,9 @@
 }
 
 func (s *serviceLoad) expiry() time.Duration {
+	if s.responseTime == 0 {
+		return firstExpiry
+	}
 	return min(max(expiryFactor*s.responseTime, minExpiry), maxExpiry)
 }
 
@@ -287,7 +296,22 @@
 		s.arrivals.add(now)
 		b.admitter.RecordRequest(server.Service, route.Priority)
 	}
-	s.group(server.DataCentre).begin(key, f, now)
+	s.group(server.DataCentre).begin(key, f, b.linkWait(now), now)
+}
+
+// waiting counts the requests of a service that wait for the link of the entry, by data centre. No backend server
+// has them yet: a full link would look like full slots.
+func (b *Balancer) waiting(s *serviceLoad, now time.Time) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range slices.Backward(s.inProgress) {
+		if !r.sentAt.After(now) {
+			break
+		}
+		if f := b.flows[r.key]; f != nil && f.progress != nil && f.progressSince.Equal(r.since) {
+			counts[f.progress.dataCentre]++
+		}
+	}
+	return counts
 }
 
 // load returns the load of a service for a decision on a new flow. Data centres that do not answer are left
@@ -299,11 +323,15 @@
 		OwnArrivals: s.arrivalsForShare(), AllArrivals: s.sharedArrivals,
 		Age: b.selector.loads.age(now), ResponseTime: s.unloadedTime, TargetLatency: route.TargetLatency,
 	}
+	waiting := b.waiting(s, now)
+	for _, n := range waiting {
+		l.OwnRequests -= n
+	}
 	for _, g := range groups {
 		if g.health.isDown(now) && !isLinkLimiting {
 			continue
 		}
-		l.Groups = append(l.Groups, admitter.GroupLoad{Slots: g.load.slots, Requests: g.load.total()})
+		l.Groups = append(l.Groups, admitter.GroupLoad{Slots: g.load.slots, Requests: g.load.total() - float64(waiting[g.load.dataCentre])})
 	}
 	return l
 }
@@ -323,9 +351,10 @@
 		if rate > 0 {
 			load.Arrivals = append(load.Arrivals, loadsharer.ServiceArrivals{Service: s.name, PerSecond: rate})
 		}
+		waiting := b.waiting(s, now)
 		for _, g := range s.groups {
-			if g.reported = g.requests; g.requests > 0 {
-				load.Groups = append(load.Groups, loadsharer.GroupLoad{Service: s.name, DataCentre: g.dataCentre, Requests: uint32(g.requests)})
+			if g.reported = g.requests - waiting[g.dataCentre]; g.reported > 0 {
+				load.Groups = append(load.Groups, loadsharer.GroupLoad{Service: s.name, DataCentre: g.dataCentre, Requests: uint32(g.reported)})
 			}
 		}
 	}
