--- a/entry/services/balancer/admission.go
+++ b/entry/services/balancer/admission.go
@@ -41,7 +41,7 @@
 	if v.Action != ActionReset || !p.IsOpening {
 		return v
 	}
-	if !b.admitter.MayRefuse(p.ResetSize, now) || p.Retransmissions > 0 && b.admitter.IsLimiting(now) {
+	if !b.admitter.MayRefuse(admitterReasonOf(v.Reason), p.ResetSize, now) || p.Retransmissions > 0 && b.admitter.IsLimiting(now) {
 		v.Action, v.IsWithheld = ActionDrop, true
 	}
 	return v
@@ -98,8 +98,21 @@
 	return ReasonNone
 }
 
+// admitterReasonOf returns the reason of the admitter for a refusal, or admitter.ReasonNone for one that has another
+// cause.
+func admitterReasonOf(reason Reason) admitter.Reason {
+	switch reason {
+	case ReasonOverCapacity:
+		return admitter.ReasonOverCapacity
+	case ReasonLinkFull:
+		return admitter.ReasonLinkFull
+	default:
+		return admitter.ReasonNone
+	}
+}
+
 // admitTo decides whether a service may get a new flow, if it has a backend server for one.
-func (b *Balancer) admitTo(route director.Route, service string, now time.Time) (hasServers bool, reason Reason) {
+func (b *Balancer) admitTo(route director.Route, service string, isCopy bool, now time.Time) (hasServers bool, reason Reason) {
 	groups := b.selector.groups(service)
 	if len(groups) == 0 {
 		return false, ReasonNone
@@ -114,7 +127,7 @@
 		}
 		s.nextProbeAt = now.Add(probeInterval)
 	}
-	flow := admitter.Flow{Service: service, Priority: route.Priority, Load: b.load(s, groups, route, isLinkLimiting, now)}
+	flow := admitter.Flow{Service: service, Priority: route.Priority, IsCopy: isCopy, Load: b.load(s, groups, route, isLinkLimiting, now)}
 	return true, reasonOf(b.admitter.Decide(flow, now))
 }
 
