Refuse for the link only under lasting overload

Cause: a caller whose flow does not fit the link for a moment used up its three attempts in some milliseconds when each was reset, and got no answer at all when resets for the link were withheld. Change: a flow that does not fit is dropped while at least half of the new flows fit, as its caller's copy after 200 ms most likely does; otherwise it is reset, with up to a quarter of the link and a queue of 10 ms. If the slots are used up as well, it is refused as over_capacity.

--- a/entry/services/admitter/admitter.go
+++ b/entry/services/admitter/admitter.go
@@ -150,19 +150,23 @@
 	if f.IsCopy {
 		share = share.forCopy()
 	}
-	isOverCapacity := f.Load.isExhausted() && f.Load.isOwnShareUsed(serviceUrgency)
-	if isOverCapacity || f.Load.isOwnShareFarExceeded(serviceUrgency) || f.Load.hasTooManyLongFlows(serviceUrgency) {
-		return ReasonOverCapacity
+	fits := a.link.fits(share, now)
+	if !f.IsCopy {
+		a.link.recordFit(fits)
 	}
 	switch {
-	case a.link.admit(share, now):
-		return ReasonNone
+	case fits:
 	case f.Load.isExhausted():
-		// More room on the link would not serve the flow.
 		return ReasonOverCapacity
 	default:
 		return ReasonLinkFull
 	}
+	if f.Load.isExhausted() && f.Load.isOwnShareUsed(serviceUrgency) || f.Load.isOwnShareFarExceeded(serviceUrgency) ||
+		f.Load.hasTooManyLongFlows(serviceUrgency) {
+		return ReasonOverCapacity
+	}
+	a.link.admit(share)
+	return ReasonNone
 }
 
 // MayRefuse reports whether the link has room for the refusal of a new flow, of the given size in bytes. Without
--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -49,9 +49,14 @@
 	// maxRefusalQueue is the wait from which refusals are withheld. A lost packet of an open flow costs its caller
 	// 200 ms.
 	maxRefusalQueue = maxQueue / 2
-	// maxLinkRefusalQueue is the same for flows that the link has no room for. Three refusals take 300 bytes of the
-	// 1,340 of a request, so that they are sent only where they displace none.
-	maxLinkRefusalQueue = maxQueue / 100
+	// maxLinkRefusalUse and maxLinkRefusalQueue are the same for flows that the link has no room for. Three refusals
+	// take 300 bytes of the 1,340 of a request, which they may displace only in part.
+	maxLinkRefusalUse   = 0.25
+	maxLinkRefusalQueue = maxLowestRankQueue
+	// minFitting is the share of the new flows that fit the link from which the others are dropped instead of
+	// refused. Their callers send a copy after 200 ms, which most likely fits. A refused caller tries again at once
+	// and has used up its attempts in some milliseconds.
+	minFitting = 0.5
 	// busyLinkUse is the share of the rate from which loss and delay are taken for signs of a full link.
 	// Below it they have other causes, such as a backend server that does not answer.
 	busyLinkUse = 0.4
@@ -102,8 +107,10 @@
 	refusals, reserved, promoted float64
 	drainedAt                    time.Time
 	flowBytes                    float64
-	baseline                     baseline
-	window                       linkWindowCounts
+	// fitting is the share of the new flows that fitted the link in the last window.
+	fitting  float64
+	baseline baseline
+	window   linkWindowCounts
 }
 
 // linkWindowCounts holds what was counted in one window.
@@ -111,8 +118,9 @@
 	startedAt time.Time
 	// bytes are all that were sent, and chargedBytes those not covered by the charge for a new flow.
 	bytes, chargedBytes int
-	// admitted and refused count new flows.
-	admitted, refused int
+	// admitted counts new flows, and fitted and unfitted those that fitted the link and those that did not, without
+	// copies.
+	admitted, fitted, unfitted int
 	// openings counts the opening packets that are not copies, and copies the others.
 	openings, copies int
 	// opened counts the flows that were opened, and openingTime is the sum of the times that it took.
@@ -191,17 +199,27 @@
 	return s
 }
 
-// admit reports whether a new flow fits its share of the link.
-func (l *linkLimiter) admit(share linkShare, now time.Time) bool {
+// fits reports whether a new flow fits its share of the link.
+func (l *linkLimiter) fits(share linkShare, now time.Time) bool {
 	if l.rate <= 0 {
 		return true
 	}
 	l.advance(now)
-	fits := l.level <= l.depth()*share.level && l.wait() <= share.wait
-	if !fits && !(share.isReserved && l.reserved <= 0) && !(share.isPromoted && l.promoted <= 0) {
-		l.window.refused++
-		return false
+	return l.level <= l.depth()*share.level && l.wait() <= share.wait ||
+		share.isReserved && l.reserved <= 0 || share.isPromoted && l.promoted <= 0
+}
+
+// recordFit records whether a new flow fits.
+func (l *linkLimiter) recordFit(fits bool) {
+	if fits {
+		l.window.fitted++
+	} else {
+		l.window.unfitted++
 	}
+}
+
+// admit charges the link with a new flow.
+func (l *linkLimiter) admit(share linkShare) {
 	if share.isReserved {
 		l.reserved = min(l.reserved+l.flowBytes, l.depth())
 	}
@@ -210,7 +228,6 @@
 	}
 	l.window.admitted++
 	l.level += l.flowBytes
-	return true
 }
 
 // mayRefuse reports whether the link has room for a refusal of the given size.
@@ -219,11 +236,14 @@
 		return true
 	}
 	l.advance(now)
-	longest := maxRefusalQueue
+	use, queue := maxRefusalUse, maxRefusalQueue
 	if reason == ReasonLinkFull {
-		longest = maxLinkRefusalQueue
+		if l.fitting >= minFitting {
+			return false
+		}
+		use, queue = maxLinkRefusalUse, maxLinkRefusalQueue
 	}
-	return l.refusals+float64(size) <= maxRefusalUse*l.depth() && l.wait() <= longest
+	return l.refusals+float64(size) <= use*l.depth() && l.wait() <= queue
 }
 
 // isLimiting reports whether the link refuses flows of the lowest rank.
@@ -251,7 +271,7 @@
 	passed := now.Sub(l.drainedAt)
 	if passed > idleReset {
 		*l = linkLimiter{
-			rate: l.rate, use: usualLinkUse, lostAt: l.lostAt, filledAt: l.filledAt, drainedAt: now, flowBytes: max(l.flowBytes, defaultFlowBytes),
+			rate: l.rate, use: usualLinkUse, fitting: 1, lostAt: l.lostAt, filledAt: l.filledAt, drainedAt: now, flowBytes: max(l.flowBytes, defaultFlowBytes),
 			window: linkWindowCounts{startedAt: now},
 		}
 		return
@@ -267,6 +287,7 @@
 	}
 	if now.Sub(l.window.startedAt) >= linkWindow {
 		l.adapt(now)
+		l.fitting = l.window.fittingShare()
 		l.window = linkWindowCounts{startedAt: now}
 	}
 }
@@ -296,6 +317,14 @@
 	}
 }
 
+// fittingShare returns the share of the new flows that fitted the link.
+func (w linkWindowCounts) fittingShare() float64 {
+	if w.unfitted == 0 {
+		return 1
+	}
+	return float64(w.fitted) / float64(w.fitted+w.unfitted)
+}
+
 // losesPackets reports whether callers had to send many opening packets again.
 func (w linkWindowCounts) losesPackets() bool {
 	return w.copies >= minCopies && float64(w.copies) > maxCopies*float64(w.openings+w.copies)
