Keep the first counts of a counter that is added twice at once

Two goroutines that used a counter for the first time at the same moment each created one, and the counts of one of them were lost: 1 of 8 remained in TestFirstCountsAreKept, which fails without the change. Counters, maps and histograms are now added under a lock, after a second look.

--- a/shared/modules/reporter/histogram.go
+++ b/shared/modules/reporter/histogram.go
@@ -28,12 +28,9 @@
 // Histogram returns the histogram with the given name. It creates an empty one if
 // there is none.
 func (c *Counters) Histogram(name string) *Histogram {
-	if h, ok := c.vars.Get(name).(*Histogram); ok {
-		return h
-	}
-	h := &Histogram{values: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits)}
-	c.vars.Set(name, h)
-	return h
+	return getOrCreate(c, name, func() *Histogram {
+		return &Histogram{values: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigits)}
+	})
 }
 
 // Observe records a duration.
--- a/shared/modules/reporter/reporter.go
+++ b/shared/modules/reporter/reporter.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,6 +22,9 @@
 // Counters is a set of named counters, gauges and histograms.
 type Counters struct {
 	vars *expvar.Map
+	// creating is held while a counter that does not exist is added. Of two goroutines that add the same
+	// one at once, the first would otherwise lose its counts.
+	creating sync.Mutex
 }
 
 // NewCounters returns an empty set.
@@ -29,21 +33,25 @@
 // Int returns the counter with the given name. It creates one with the value 0 if
 // there is none.
 func (c *Counters) Int(name string) *expvar.Int {
-	if v, ok := c.vars.Get(name).(*expvar.Int); ok {
-		return v
-	}
-	v := new(expvar.Int)
-	c.vars.Set(name, v)
-	return v
+	return getOrCreate(c, name, func() *expvar.Int { return new(expvar.Int) })
 }
 
 // Map returns the set of counters with the given name. It creates an empty one if
 // there is none.
 func (c *Counters) Map(name string) *expvar.Map {
-	if v, ok := c.vars.Get(name).(*expvar.Map); ok {
+	return getOrCreate(c, name, func() *expvar.Map { return new(expvar.Map).Init() })
+}
+
+func getOrCreate[V expvar.Var](c *Counters, name string, create func() V) V {
+	if v, ok := c.vars.Get(name).(V); ok {
+		return v
+	}
+	c.creating.Lock()
+	defer c.creating.Unlock()
+	if v, ok := c.vars.Get(name).(V); ok {
 		return v
 	}
-	v := new(expvar.Map).Init()
+	v := create()
 	c.vars.Set(name, v)
 	return v
 }
--- a/shared/modules/reporter/reporter_test.go
+++ b/shared/modules/reporter/reporter_test.go
@@ -1,6 +1,7 @@
 package reporter_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,30 @@
 	}
 }
 
+// Guards against lost counts of a counter that several goroutines use for the first time at once.
+func TestFirstCountsAreKept(t *testing.T) {
+	t.Parallel()
+	const rounds, goroutines = 500, 8
+	for range rounds {
+		counters := reporter.NewCounters()
+		start := make(chan struct{})
+		var done sync.WaitGroup
+		for range goroutines {
+			done.Go(func() {
+				<-start
+				counters.Int("requests").Add(1)
+				counters.Map("reasons").Add("a", 1)
+				counters.Histogram("latency").Observe(time.Millisecond)
+			})
+		}
+		close(start)
+		done.Wait()
+		require.EqualValues(t, goroutines, counters.Int("requests").Value())
+		require.JSONEq(t, `{"a": 8}`, counters.Map("reasons").String())
+		require.EqualValues(t, goroutines, counters.Histogram("latency").Latency().Count)
+	}
+}
+
 // Guards against JSON that /debug/vars cannot serve.
 func TestCountersAreJSON(t *testing.T) {
 	t.Parallel()
