Ask for the slot of a second attempt before withholding it

Cause: the 20 ms within which owners must answer began when the second attempt was due. If owners had been asked for other slots less than 1 ms before, the gateway waited for the next tick, and after a pause it withheld the attempt with no_free_slot without having asked anyone. Traces of TestOnlyIdempotentRequestsAreSentTwice beside load show it: the other backend server had a limit of 2, no slot in use, and was owned by the same gateway.

The time now begins when owners are asked. TestSecondSlotIsAskedForAfterPause fails without the change.

--- a/gateway/services/scheduler/scheduler.go
+++ b/gateway/services/scheduler/scheduler.go
@@ -81,7 +81,7 @@
 	case RequestQueued:
 		out = m.enqueue(now, in)
 	case SecondSlotRequested:
-		m.seconds = append(m.seconds, pendingSecond{SecondSlotRequested: in, expiry: now.Add(secondSlotTimeout)})
+		m.seconds = append(m.seconds, pendingSecond{SecondSlotRequested: in})
 	case RequestCancelled:
 		m.cancelSecond(in.Request)
 		if q := m.queues[in.Service]; q != nil {
@@ -232,6 +232,7 @@
 		}
 		out = append(out, SendGrantRequest{To: outgoing.To, Request: outgoing.Request})
 	}
+	m.startSecondTimeouts(now)
 	return out
 }
 
--- a/gateway/services/scheduler/seconds.go
+++ b/gateway/services/scheduler/seconds.go
@@ -14,6 +14,8 @@
 // pendingSecond is a second attempt that has no slot yet.
 type pendingSecond struct {
 	SecondSlotRequested
+	// expiry is zero until owners have been asked. They are asked at the next tick at the latest, which
+	// is later than secondSlotTimeout after a pause of the process.
 	expiry time.Time
 }
 
@@ -39,12 +41,22 @@
 	if slot, ok := m.leases.TakeOther(now, service, p.First); ok {
 		return Start{Request: p.Request, Slot: slot}, true
 	}
-	if now.Before(p.expiry) {
+	if p.expiry.IsZero() || now.Before(p.expiry) {
 		return nil, false
 	}
 	return Withhold{Request: p.Request, Reason: hedger.ReasonNoFreeSlot}, true
 }
 
+// startSecondTimeouts starts the timeout of the second attempts for which owners have just been asked
+// for the first time.
+func (m *Machine) startSecondTimeouts(now time.Time) {
+	for i := range m.seconds {
+		if m.seconds[i].expiry.IsZero() {
+			m.seconds[i].expiry = now.Add(secondSlotTimeout)
+		}
+	}
+}
+
 // cancelSecond removes a second attempt that is no longer needed.
 func (m *Machine) cancelSecond(request uint64) {
 	m.seconds = slices.DeleteFunc(m.seconds, func(p pendingSecond) bool { return p.Request == request })
