Count second attempts whose request ends before they have a slot

The counter second_sends_withheld stands for all attempts that were due and not sent, but left out those whose first attempt was answered, whose caller left or whose deadline ended while they waited for a slot. They now count with the reason request_ended. TestSecondSendAfterEndIsWithheld fails without the change.

--- a/gateway/services/dispatcher/hedging.go
+++ b/gateway/services/dispatcher/hedging.go
@@ -86,14 +86,14 @@
 	slot, err := d.slots.AcquireSecond(ctx, first)
 	if err != nil {
 		d.hedger.Refund()
-		var withheld scheduler.ErrWithheld
-		if errors.As(err, &withheld) {
-			d.withhold(withheld.Reason)
-		}
+		withheld := scheduler.ErrWithheld{Reason: hedger.ReasonRequestEnded}
+		_ = errors.As(err, &withheld)
+		d.withhold(withheld.Reason)
 		return attempt{slotExpired: true}
 	}
 	if ctx.Err() != nil {
 		d.hedger.Refund()
+		d.withhold(hedger.ReasonRequestEnded)
 		d.slots.Return(slot, leaseholder.ResultUnused, 0)
 		return attempt{slotExpired: true}
 	}
--- a/gateway/services/dispatcher/hedging_test.go
+++ b/gateway/services/dispatcher/hedging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,6 +15,8 @@
 
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
 	"github.com/redwingledge/redwingledge/gateway/services/dispatcher"
+	"github.com/redwingledge/redwingledge/gateway/services/leaseholder"
+	"github.com/redwingledge/redwingledge/shared/models/announcer"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -138,3 +141,56 @@
 		})
 	}
 }
+
+// lateSlots provides slots for second attempts only once the request has ended. If isRefused is set,
+// it provides none.
+type lateSlots struct {
+	fixedSlots
+	isRefused bool
+	asked     chan struct{}
+}
+
+func (s *lateSlots) AcquireSecond(ctx context.Context, first announcer.ID) (leaseholder.Slot, error) {
+	select {
+	case s.asked <- struct{}{}:
+	case <-ctx.Done():
+	}
+	<-ctx.Done()
+	if s.isRefused {
+		return leaseholder.Slot{}, ctx.Err()
+	}
+	return s.fixedSlots.AcquireSecond(ctx, first)
+}
+
+// Guards against a second attempt that is due, but neither sent nor counted as withheld, because the first
+// one was answered while the second one waited for a slot.
+func TestSecondSendAfterEndIsWithheld(t *testing.T) {
+	t.Parallel()
+	for _, isRefused := range []bool{true, false} {
+		slots := &lateSlots{isRefused: isRefused, asked: make(chan struct{})}
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				<-slots.asked
+			}
+		}))
+		t.Cleanup(server.Close)
+		slots.addresses[0] = netip.MustParseAddrPort(server.Listener.Addr().String())
+		counters := reporter.NewCounters()
+		d := dispatcher.New(slots, dispatcher.Settings{SecondSendShare: 1}, timer.NewSystem(), counters, log.Discard())
+		t.Cleanup(d.Close)
+		for i := range 65 { // as many response times as an estimate needs, then a slow request
+			path := "/"
+			if i == 64 {
+				path = "/slow"
+			}
+			now := time.Now()
+			request := dispatcher.Request{Method: http.MethodGet, Path: path, Header: make(http.Header), Arrived: now, Deadline: now.Add(10 * time.Second), Repeatable: true}
+			require.IsType(t, recorder.Completed{}, d.Run(t.Context(), httptest.NewRecorder(), request, 0, func(recorder.Outcome) {}))
+		}
+		reasons := counters.Map("second_sends_withheld_by")
+		require.Eventually(t, func() bool { return reasons.String() == `{"request_ended": 1}` }, 5*time.Second, time.Millisecond, "got %s", reasons)
+		require.EqualValues(t, 1, counters.Int("second_sends_withheld").Value())
+		require.Zero(t, counters.Int("second_sends").Value())
+		require.Eventually(t, func() bool { return slots.inUse.Load() == 0 }, 5*time.Second, time.Millisecond, "the late slot must be returned")
+	}
+}
--- a/gateway/services/hedger/hedger.go
+++ b/gateway/services/hedger/hedger.go
@@ -26,6 +26,9 @@
 	ReasonNoFreeSlot Reason = "no_free_slot"
 	// ReasonSlotExpired means that the lease of the slot ended before anything was sent.
 	ReasonSlotExpired Reason = "slot_expired"
+	// ReasonRequestEnded means that the request ended before the second attempt had a slot: the
+	// first attempt was answered, the caller left or the deadline passed.
+	ReasonRequestEnded Reason = "request_ended"
 )
 
 // Hedger decides when second attempts are due and whether their share allows one. It is safe
