Do not count pauses of the gateway as time to connect

The time to connect was 1 s of real time. In traces beside load (a trial, 16 processes at a time beside 8 busy ones), attempts to connect took up to 647 ms, nearly all of which were several short pauses of the process one after the other. Only a pause at the end of the time was recognized.

The time now consists of 10 ticks of 100 ms, of which a pause delivers one or two.

--- a/gateway/services/dispatcher/correlation.go
+++ b/gateway/services/dispatcher/correlation.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
+
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
 // HeaderDispatchID carries an identifier for each request to a backend server. A backend server
@@ -76,8 +78,8 @@
 	echoesID atomic.Bool
 }
 
-func newAddrConns(addr netip.AddrPort) *addrConns {
-	c := &addrConns{keepAlive: newTransport(addr), singleUse: newTransport(addr)}
+func newAddrConns(clock timer.Service, addr netip.AddrPort) *addrConns {
+	c := &addrConns{keepAlive: newTransport(clock, addr), singleUse: newTransport(clock, addr)}
 	c.singleUse.DisableKeepAlives = true
 	return c
 }
--- a/gateway/services/dispatcher/dispatcher.go
+++ b/gateway/services/dispatcher/dispatcher.go
@@ -104,7 +104,7 @@
 // New returns a Dispatcher.
 func New(slots Slots, settings Settings, clock timer.Service, counters *reporter.Counters, logger *slog.Logger) *Dispatcher {
 	return &Dispatcher{
-		slots: slots, pool: NewPool(), budget: budgeter.New(settings.RetryShare), hedger: hedger.New(settings.SecondSendShare),
+		slots: slots, pool: NewPool(clock), budget: budgeter.New(settings.RetryShare), hedger: hedger.New(settings.SecondSendShare),
 		clock: clock, counters: counters, logger: logger,
 	}
 }
@@ -227,12 +227,12 @@
 	}
 	resp, err := corr.transport().RoundTrip(out)
 	if err != nil {
-		return d.handleFailure(ctx, req, slot, now, corr.isConnected.Load())
+		return d.handleFailure(ctx, req, slot, now, err, corr.isConnected.Load())
 	}
 	if !corr.acceptResponse(resp) {
 		d.counters.Int("answers_of_other_requests").Add(1)
 		_ = resp.Body.Close()
-		return d.handleFailure(ctx, req, slot, now, true)
+		return d.handleFailure(ctx, req, slot, now, nil, true)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return d.handleUnavailable(req, slot, resp, now)
@@ -240,7 +240,7 @@
 	return attempt{response: resp, slot: slot, started: now, isSecond: req.isSecond}
 }
 
-func (d *Dispatcher) handleFailure(ctx context.Context, req Request, slot leaseholder.Slot, started time.Time, connected bool) attempt {
+func (d *Dispatcher) handleFailure(ctx context.Context, req Request, slot leaseholder.Slot, started time.Time, err error, connected bool) attempt {
 	if isOvertaken(ctx) {
 		d.returnOvertaken(slot, req.isSecond, started)
 		return attempt{outcome: recorder.Cancelled{MayHaveRun: connected}}
@@ -250,9 +250,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		d.slots.Return(slot, leaseholder.ResultUnused, 0)
 		return attempt{outcome: recorder.Cancelled{MayHaveRun: connected}}
-	case !connected && d.clock.Now().Sub(started) > dialTimeout+maxDialDelay:
-		// This process did not run when the time to connect ended, so that the failure does not
-		// show that the backend server cannot be reached.
+	case !connected && !errors.Is(err, errDialTimeout) && d.clock.Now().Sub(started) > dialTimeout+maxDialDelay:
+		// This process was paused meanwhile, so that the failure does not show that the backend server
+		// cannot be reached. errDialTimeout does, because it does not count pauses.
 		d.slots.Return(slot, leaseholder.ResultUnused, 0)
 		return attempt{slotExpired: true}
 	case !connected:
--- a/gateway/services/dispatcher/pool.go
+++ b/gateway/services/dispatcher/pool.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/redwingledge/redwingledge/shared/modules/timer"
 )
 
 const (
-	// dialTimeout limits the time to open a connection. It is several times the round-trip time
-	// between two data centres.
+	// dialTimeout limits the time to open a connection, without pauses of this process. It is several
+	// times the round-trip time between two data centres.
 	dialTimeout = time.Second
+	// dialTicks is the number of ticks that dialTimeout consists of. A pause counts as one or two.
+	dialTicks = 10
 	// maxDialDelay is how much later than dialTimeout a failed attempt to connect may end while
 	// this process runs. The timers of a running process end within a few milliseconds.
 	maxDialDelay = 100 * time.Millisecond
@@ -26,9 +31,13 @@
 	poolExpiry = time.Minute
 )
 
+// errDialTimeout is returned if a backend server does not accept a connection within dialTimeout.
+var errDialTimeout = errors.New("the backend server did not accept a connection in time")
+
 // Pool holds the connections to the backend servers. Each address has its own transports, so
 // that all its idle connections can be closed after a failure.
 type Pool struct {
+	clock  timer.Service
 	mu     sync.Mutex
 	byAddr map[netip.AddrPort]*addrConns
 	// lastUsed holds the time of the last use of each address.
@@ -36,8 +45,8 @@
 }
 
 // NewPool returns an empty Pool.
-func NewPool() *Pool {
-	return &Pool{byAddr: make(map[netip.AddrPort]*addrConns), lastUsed: make(map[netip.AddrPort]time.Time)}
+func NewPool(clock timer.Service) *Pool {
+	return &Pool{clock: clock, byAddr: make(map[netip.AddrPort]*addrConns), lastUsed: make(map[netip.AddrPort]time.Time)}
 }
 
 // get returns the connections to an address and creates them if there are none.
@@ -49,7 +58,7 @@
 		return conns
 	}
 	p.expireLocked(now)
-	conns := newAddrConns(addr)
+	conns := newAddrConns(p.clock, addr)
 	p.byAddr[addr] = conns
 	return conns
 }
@@ -84,16 +93,41 @@
 	}
 }
 
-func newTransport(addr netip.AddrPort) *http.Transport {
+// withDialTimeout returns a context that is cancelled with errDialTimeout after dialTimeout. It counts ticks,
+// of which a pause of this process delivers one at most: after several short pauses, the timer of an attempt
+// to connect would end the attempt before the answer of the backend server is read.
+func withDialTimeout(ctx context.Context, clock timer.Service) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	ticks := clock.Subscribe("dial", dialTimeout/dialTicks)
+	go func() {
+		defer ticks.Cancel()
+		for range dialTicks {
+			select {
+			case <-ticks.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		cancel(errDialTimeout)
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+func newTransport(clock timer.Service, addr netip.AddrPort) *http.Transport {
 	dialer := &net.Dialer{
-		Timeout: dialTimeout,
 		// Detects a peer that no longer answers within about 10 s, also while a request waits
 		// for its response.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: 2 * time.Second, Count: 3},
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, addr.String())
+			ctx, cancel := withDialTimeout(ctx, clock)
+			defer cancel()
+			conn, err := dialer.DialContext(ctx, network, addr.String())
+			if err != nil && errors.Is(context.Cause(ctx), errDialTimeout) {
+				return nil, errDialTimeout
+			}
+			return conn, err
 		},
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
