--- a/gateway/services/scheduler/scheduler.go
+++ b/gateway/services/scheduler/scheduler.go
@@ -81,7 +81,7 @@
 	case RequestQueued:
 		out = m.enqueue(now, in)
 	case SecondSlotRequested:
-		m.secondAttempts = append(m.secondAttempts, pendingSecondAttempt{SecondSlotRequested: in, expiry: now.Add(secondSlotTimeout)})
+		m.secondAttempts = append(m.secondAttempts, pendingSecondAttempt{SecondSlotRequested: in})
 	case RequestCancelled:
 		m.cancelSecondAttempt(in.Request)
 		if q := m.queues[in.Service]; q != nil {
@@ -232,6 +232,7 @@
 		}
 		out = append(out, SendGrantRequest{To: outgoing.To, Request: outgoing.Request})
 	}
+	m.startSecondTimeouts(now)
 	return out
 }
 
--- a/gateway/services/scheduler/second_attempts.go
+++ b/gateway/services/scheduler/second_attempts.go
@@ -14,6 +14,8 @@
 // pendingSecondAttempt is a second attempt that has no slot yet.
 type pendingSecondAttempt struct {
 	SecondSlotRequested
+	// expiry is zero until owners have been asked. They are asked at the next tick at the latest, which
+	// is later than secondSlotTimeout after a pause of the process.
 	expiry time.Time
 }
 
@@ -39,12 +41,22 @@
 	if slot, ok := m.leases.TakeOther(now, service, p.First); ok {
 		return Start{Request: p.Request, Slot: slot}, true
 	}
-	if now.Before(p.expiry) {
+	if p.expiry.IsZero() || now.Before(p.expiry) {
 		return nil, false
 	}
 	return Withhold{Request: p.Request, Reason: hedger.ReasonNoFreeSlot}, true
 }
 
+// startSecondTimeouts starts the timeout of the second attempts for which owners have just been asked
+// for the first time.
+func (m *Machine) startSecondTimeouts(now time.Time) {
+	for i := range m.secondAttempts {
+		if m.secondAttempts[i].expiry.IsZero() {
+			m.secondAttempts[i].expiry = now.Add(secondSlotTimeout)
+		}
+	}
+}
+
 // cancelSecondAttempt removes a second attempt that is no longer needed.
 func (m *Machine) cancelSecondAttempt(request uint64) {
 	m.secondAttempts = slices.DeleteFunc(m.secondAttempts, func(p pendingSecondAttempt) bool { return p.Request == request })
