Let requests wait for half of their target latency

Cause: in the size of the deployments, with requests of 75 ms to 145 ms, chance places requests unevenly, so that slots are idle while others have a queue, and the limit of 0.35 of the target latency refused flows meanwhile.

--- a/entry/services/admitter/slots.go
+++ b/entry/services/admitter/slots.go
@@ -11,7 +11,7 @@
 	maxRequestsPerSlot = 3.0
 	// waitShare is the share of the target latency that a request may spend waiting for a slot. The rest is
 	// left for its work, the network and a second try.
-	waitShare = 0.35
+	waitShare = 0.5
 	// nearLimit is the part of the limit on requests in progress from which flows are refused. The share of one
 	// entry is a small number, which chance alone exceeds at times.
 	nearLimit = 0.9
