--- a/entry/services/balancer/overload_test.go
+++ b/entry/services/balancer/overload_test.go
@@ -176,9 +176,10 @@
 	return c
 }
 
-// scaled divides the entries and backend servers.
-func (c overloadCase) scaled(n int) overloadCase {
-	c.entries, c.servers = c.entries/n, c.servers/n
+// scaled returns the case with a fifth of the entries and backend servers.
+func (c overloadCase) scaled() overloadCase {
+	const part = 5
+	c.entries, c.servers = c.entries/part, c.servers/part
 	return c
 }
 
@@ -253,7 +254,7 @@
 	run := func(t *testing.T, c overloadCase) {
 		t.Helper()
 		_, name, _ := strings.Cut(t.Name(), "/")
-		check(t, runOnce(name, c.controlled().scaled(5)))
+		check(t, runOnce(name, c.controlled().scaled()))
 	}
 	if os.Getenv("REDWINGLEDGE_MEASURE") != "" {
 		eachCase(t, []int{1, 5}, []float64{1, 1.5, 2, 4, 8}, run)
@@ -323,7 +324,7 @@
 		factors, seeds = []int{1, 5}, 4
 	}
 	eachCase(t, factors, []float64{1, 1.5, 2, 4, 8}, func(t *testing.T, c overloadCase) {
-		c = c.scaled(5)
+		c = c.scaled()
 		for c.seed = range seeds {
 			got, asItWas := runOverload(c.controlled()), runOverload(c)
 			require.GreaterOrEqual(t, got.goodput(got.doneWork), asItWas.goodput(asItWas.doneWork)-chance, "part that is served in time, seed %d", c.seed)
@@ -382,7 +383,7 @@
 	for name, apply := range faults {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := deployment("V", 2, false, 5).scaled(5)
+			c := deployment("V", 2, false, 5).scaled()
 			apply(&c)
 			r := runOverload(c.controlled())
 			require.Zero(t, r.placedOut, "new flows to a data centre that is taken out")
--- a/entry/services/balancer/refused_copy_test.go
+++ b/entry/services/balancer/refused_copy_test.go
@@ -243,7 +243,7 @@
 	for _, name := range []string{"V", "R"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := deployment(name, 8, false, 5).scaled(5).controlled()
+			c := deployment(name, 8, false, 5).scaled().controlled()
 			c.cutsOff = true
 			r := runOverload(c)
 			require.Zero(t, r.lateResets, "resets of flows that a backend server may have got, of %d resets of copies", r.copyResets)
