--- a/entry/services/admitter/admitter_test.go
+++ b/entry/services/admitter/admitter_test.go
@@ -229,6 +229,19 @@
 	}
 }
 
+// Guards against a link that is faster than its settings and whose use falls: the wait for it is less than
+// expected while its queue seems long, so that the other openings seem delayed.
+func TestFasterLinkKeepsItsUse(t *testing.T) {
+	t.Parallel()
+	a := admitter.New(admitter.Settings{LinkRate: 250_000})
+	got := offerMeasuredLink(a, map[uint8]int{2: 2000}, 0, func(now time.Time) {
+		d := 2 * time.Millisecond
+		a.RecordOpened(d-a.LinkWait(now), now)
+		a.RecordOpened(d, now)
+	})
+	require.GreaterOrEqual(t, got[2], 470, "of 500 that the link can carry")
+}
+
 // Guards against long flows of a lower rank that are admitted for its share again and again, although requests
 // on the earlier ones are more than that share, and against another rank or service that loses its share by them.
 func TestLowestShareCountsRequestsOnOpenFlows(t *testing.T) {
--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -158,8 +158,10 @@
 	}
 }
 
-// recordOpened records how long opening a flow took, without the wait for the link that was expected.
+// recordOpened records how long opening a flow took, without the wait for the link that was expected. That is
+// less than 0 on a link which is faster than its settings, and no baseline for others then.
 func (l *linkLimiter) recordOpened(d time.Duration, now time.Time) {
+	d = max(d, 0)
 	l.baseline.record(d, now)
 	l.window.opened++
 	l.window.openingTime += d
