Refuse new connections before a server stops accepting

Cause: connections whose handshake ended between the last accept and the shutdown of the listening socket were reset. The two calls are a few microseconds apart, in which callers that connect all the time open connections.

Shutdown now first binds the listening socket to a network interface that does not exist: the kernel then refuses opening packets, but completes the handshakes that have begun. After 300 ms nothing can be queued any more, and the socket is closed as before. A shutdown takes 300 ms longer. Where the binding fails, the shutdown is as before.

TestShutdownReportsNoError keeps its 300 rounds, but shuts 30 servers down at a time, since one after the other they take 90 s longer.

--- a/shared/modules/drainer/server.go
+++ b/shared/modules/drainer/server.go
@@ -88,7 +88,7 @@
 	s.mu.Lock()
 	s.isClosing = true
 	s.mu.Unlock()
-	if err := s.listener.drain(); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.listener.drain(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("close the listener: %w", err)
 	}
 	ticker := time.NewTicker(pollInterval)
--- a/shared/modules/drainer/server_test.go
+++ b/shared/modules/drainer/server_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,11 +90,59 @@
 // returned yet.
 func TestShutdownReportsNoError(t *testing.T) {
 	t.Parallel()
-	for range 300 {
+	for range 10 {
+		errs := make(chan error, 30)
+		for range cap(errs) {
+			s, conn := startServer(t, 0)
+			go func() { errs <- errors.Join(conn.Close(), s.Shutdown(t.Context())) }()
+		}
+		for range cap(errs) {
+			require.NoError(t, <-errs)
+		}
+	}
+}
+
+// Guards against connections that are reset because they are opened at the moment of the shutdown: each caller that
+// connects must be answered, and is refused afterwards.
+func TestNoConnectionIsResetAtShutdown(t *testing.T) {
+	t.Parallel()
+	const rounds, callers = 20, 48
+	for range rounds {
 		s, conn := startServer(t, 0)
 		require.NoError(t, conn.Close())
+		errs := make(chan error, callers)
+		for range callers {
+			go func() {
+				var err error
+				for err == nil {
+					err = callOnce(s.Addr().String())
+				}
+				errs <- err
+			}()
+		}
+		time.Sleep(30 * time.Millisecond)
 		require.NoError(t, s.Shutdown(t.Context()))
+		for range callers {
+			require.ErrorIs(t, <-errs, syscall.ECONNREFUSED)
+		}
+	}
+}
+
+// callOnce sends a request on a new connection and returns an error unless it is answered.
+func callOnce(address string) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, request); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
 	}
+	return resp.Body.Close()
 }
 
 // Guards against connections that are reset because they waited in the kernel's accept queue when
