--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -49,14 +49,14 @@
 	// maxRefusalQueue is the wait from which refusals are withheld. A lost packet of an open flow costs its caller
 	// 200 ms.
 	maxRefusalQueue = maxQueue / 2
+	// maxLinkRefusalQueue is the same for flows that the link has no room for. Three refusals take 300 bytes of the
+	// 1,340 of a request, so that they are sent only where they displace none.
+	maxLinkRefusalQueue = maxQueue / 100
 	// usedSlotsRefusalUse is the share of the rate that refusals of flows for which both the link and the slots have
 	// no room may take. More of them leave slots idle before shared figures, which are up to 0.6 s old, show it.
 	usedSlotsRefusalUse = 0.25
 	// refusalBytes is the size of a refusal on the link.
 	refusalBytes = 100
-	// maxLinkRefusalQueue is the same for flows that the link has no room for. Three refusals take 300 bytes of the
-	// 1,340 of a request, so that they are sent only where they displace none.
-	maxLinkRefusalQueue = maxQueue / 100
 	// busyLinkUse is the share of the rate from which loss and delay are taken for signs of a full link.
 	// Below it they have other causes, such as a backend server that does not answer.
 	busyLinkUse = 0.4
@@ -87,8 +87,8 @@
 
 // linkLimiter limits what the entry sends on its link. queue follows the packets that were sent, and level is a
 // leaky bucket that is charged at once with all that a new flow is expected to send, so that the first moment of
-// a burst is not admitted as a whole. It is never below the queue. Packets that callers send to the entry use the other direction of the link,
-// which has fewer bytes to carry.
+// a burst is not admitted as a whole. It is never below the queue. Packets that callers send to the entry use the
+// other direction of the link, which has fewer bytes to carry.
 type linkLimiter struct {
 	// rate is that of the link in bytes per second; 0 sets no limit.
 	rate float64
@@ -111,20 +111,6 @@
 	window                                          linkWindowCounts
 }
 
-// linkWindowCounts holds what was counted in one window.
-type linkWindowCounts struct {
-	startedAt time.Time
-	// bytes are all that were sent, and chargedBytes those not covered by the charge for a new flow.
-	bytes, chargedBytes int
-	// admitted counts new flows.
-	admitted int
-	// openings counts the opening packets that are not copies, and copies the others.
-	openings, copies int
-	// opened counts the flows that were opened, and openingTime is the sum of the times that it took.
-	opened      int
-	openingTime time.Duration
-}
-
 // recordPacket records a packet that the entry sends.
 func (l *linkLimiter) recordPacket(p Packet, now time.Time) {
 	if l.rate <= 0 {
@@ -208,6 +194,9 @@
 
 // admit charges the link with a new flow.
 func (l *linkLimiter) admit(share linkShare) {
+	if l.rate <= 0 {
+		return
+	}
 	if share.isReserved {
 		l.reserved = min(l.reserved+l.flowBytes, l.depth())
 	}
@@ -218,7 +207,8 @@
 	l.level += l.flowBytes
 }
 
-// takeRefusal reports whether one more flow may be refused because the slots are used as well, and counts it.
+// takeRefusal reports whether one more flow may be refused because the slots are used as well, and counts it. Copies
+// count too, although they are not reset: the more callers come again, the less is left for resets.
 func (l *linkLimiter) takeRefusal() bool {
 	if l.usedSlotsRefusals > usedSlotsRefusalUse*l.depth() {
 		return false
@@ -307,36 +297,3 @@
 		l.flowBytes += flowSmoothing * (float64(w.bytes-w.chargedBytes)/float64(w.admitted) - l.flowBytes)
 	}
 }
-
-// losesPackets reports whether callers had to send many opening packets again.
-func (w linkWindowCounts) losesPackets() bool {
-	return w.copies >= minCopies && float64(w.copies) > maxCopies*float64(w.openings+w.copies)
-}
-
-// queueing returns by how much opening a flow took longer than the baseline, on average.
-func (w linkWindowCounts) queueing(baseline time.Duration) time.Duration {
-	if w.opened == 0 {
-		return 0
-	}
-	return w.openingTime/time.Duration(w.opened) - baseline
-}
-
-// baseline is the shortest opening time of the last one to two intervals of baselineMemory.
-type baseline struct {
-	startedAt         time.Time
-	current, previous time.Duration
-}
-
-func (b *baseline) record(d time.Duration, now time.Time) {
-	if now.Sub(b.startedAt) >= baselineMemory {
-		*b = baseline{startedAt: now, current: d, previous: b.current}
-	}
-	b.current = min(b.current, d)
-}
-
-func (b *baseline) get() time.Duration {
-	if b.previous == 0 {
-		return b.current
-	}
-	return min(b.current, b.previous)
-}
