Refuse long flows later at full use of the slots and earlier below it

Change: a margin of 2 while the shared figures show 0.8 of the slots in use and of 1 below it, where chance explains fewer requests and a burst more; resets for lack of room on the link and slots from 0.82 of the limit on requests instead of 0.75.

--- a/entry/services/admitter/slots.go
+++ b/entry/services/admitter/slots.go
@@ -17,13 +17,17 @@
 	nearLimit = 0.9
 	// enoughWaiting is the part of that limit from which the slots stay in use for a while if the link carries
 	// refusals instead of requests.
-	enoughWaiting = 0.75
+	enoughWaiting = 0.82
 	// minLongShare is the share of requests on open flows from which the flows of a priority count as long.
 	minLongShare = 0.5
 	// longFlowMargin is the number of standard deviations by which requests in progress exceed the share of the
 	// entry in the slots before long flows of lower ranks are refused. With 2.5 such flows left the highest rank
-	// 0.93 of its requests at twice the capacity.
-	longFlowMargin = 1.5
+	// 0.87 of its requests at twice the capacity, with 1.5 less was served at the capacity than without a limit.
+	longFlowMargin = 2.0
+	// lowUseLongFlowMargin applies while the shared figures show less than lowSlotUse of the slots in use. Chance
+	// explains fewer requests then, and a burst that the figures do not show yet explains more.
+	lowUseLongFlowMargin = 1.0
+	lowSlotUse           = 0.8
 	// earlyMargin is the same for the limit on requests in progress, from which flows of lower ranks are refused
 	// before the shared figures show a burst.
 	earlyMargin = 2
@@ -120,7 +124,11 @@
 		return 0
 	}
 	own := max(float64(slots)*share, 1)
-	return own + longFlowMargin*math.Sqrt(own)
+	margin := longFlowMargin
+	if l.requests() < lowSlotUse*float64(slots) {
+		margin = lowUseLongFlowMargin
+	}
+	return own + margin*math.Sqrt(own)
 }
 
 // ownLimit returns the number of requests in progress at which this entry has used its share, or 0 if the
