--- a/entry/services/admitter/link.go
+++ b/entry/services/admitter/link.go
@@ -87,8 +87,8 @@
 
 // linkLimiter limits what the entry sends on its link. queue follows the packets that were sent, and level is a
 // leaky bucket that is charged at once with all that a new flow is expected to send, so that the first moment of
-// a burst is not admitted as a whole. It is never below the queue. Packets that callers send to the entry use the other direction of the link,
-// which has fewer bytes to carry.
+// a burst is not admitted as a whole. It is never below the queue. Packets that callers send to the entry use the
+// other direction of the link, which has fewer bytes to carry.
 type linkLimiter struct {
 	// rate is that of the link in bytes per second; 0 sets no limit.
 	rate float64
@@ -113,21 +113,6 @@
 	window   linkWindowCounts
 }
 
-// linkWindowCounts holds what was counted in one window.
-type linkWindowCounts struct {
-	startedAt time.Time
-	// bytes are all that were sent, and chargedBytes those not covered by the charge for a new flow.
-	bytes, chargedBytes int
-	// admitted counts new flows, and fitted and unfitted those that fitted the link and those that did not, without
-	// copies.
-	admitted, fitted, unfitted int
-	// openings counts the opening packets that are not copies, and copies the others.
-	openings, copies int
-	// opened counts the flows that were opened, and openingTime is the sum of the times that it took.
-	opened      int
-	openingTime time.Duration
-}
-
 // recordPacket records a packet that the entry sends.
 func (l *linkLimiter) recordPacket(p Packet, now time.Time) {
 	if l.rate <= 0 {
@@ -222,6 +207,9 @@
 
 // admit charges the link with a new flow.
 func (l *linkLimiter) admit(share linkShare) {
+	if l.rate <= 0 {
+		return
+	}
 	if share.isReserved {
 		l.reserved = min(l.reserved+l.flowBytes, l.depth())
 	}
@@ -318,44 +306,3 @@
 		l.flowBytes += flowSmoothing * (float64(w.bytes-w.chargedBytes)/float64(w.admitted) - l.flowBytes)
 	}
 }
-
-// fittingShare returns the share of the new flows that fitted the link.
-func (w linkWindowCounts) fittingShare() float64 {
-	if w.unfitted == 0 {
-		return 1
-	}
-	return float64(w.fitted) / float64(w.fitted+w.unfitted)
-}
-
-// losesPackets reports whether callers had to send many opening packets again.
-func (w linkWindowCounts) losesPackets() bool {
-	return w.copies >= minCopies && float64(w.copies) > maxCopies*float64(w.openings+w.copies)
-}
-
-// queueing returns by how much opening a flow took longer than the baseline, on average.
-func (w linkWindowCounts) queueing(baseline time.Duration) time.Duration {
-	if w.opened == 0 {
-		return 0
-	}
-	return w.openingTime/time.Duration(w.opened) - baseline
-}
-
-// baseline is the shortest opening time of the last one to two intervals of baselineMemory.
-type baseline struct {
-	startedAt         time.Time
-	current, previous time.Duration
-}
-
-func (b *baseline) record(d time.Duration, now time.Time) {
-	if now.Sub(b.startedAt) >= baselineMemory {
-		*b = baseline{startedAt: now, current: d, previous: b.current}
-	}
-	b.current = min(b.current, d)
-}
-
-func (b *baseline) get() time.Duration {
-	if b.previous == 0 {
-		return b.current
-	}
-	return min(b.current, b.previous)
-}
