--- a/deploy/regress.sh
+++ b/deploy/regress.sh
@@ -19,6 +19,9 @@
   large/fjspb-ledge-large
   grown/fjspb-ledge-grown
   grown/ndfsc-edge-grown
+  shifted/fjspb-ledge-now-grown
+  demands/raamatusild-tln-grown
+  demands/vvs-tallinn-grown
 )
 failed=0
 for site in "${sites[@]}"; do
--- a/entry/services/balancer/refused_copy_test.go
+++ b/entry/services/balancer/refused_copy_test.go
@@ -116,6 +116,16 @@
 			requireRefused(t, e.Decide(opening(callerAddress(900), 1), e.now), tc.want, balancer.ReasonOverCapacity)
 		})
 	}
+	t.Run("the link limits flows", func(t *testing.T) {
+		t.Parallel()
+		e := newRefusingEntry()
+		e.Decide(opening(callerAddress(900), 0), e.now)
+		e.run(firstRetransmission)
+		e.Decide(balancer.Packet{Source: callerAddress(800), Destination: route, Token: 1, HasData: true, Size: 200_000}, e.now)
+		v := e.Decide(opening(callerAddress(900), 1), e.now)
+		requireRefused(t, v, balancer.ActionDrop, balancer.ReasonOverCapacity)
+		require.True(t, v.IsWithheld)
+	})
 	t.Run("2 s after a sign", func(t *testing.T) {
 		t.Parallel()
 		e := newRefusingEntry()
