--- a/entry/services/balancer/service_load.go
+++ b/entry/services/balancer/service_load.go
@@ -1,14 +1,11 @@
 package balancer
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/entry/services/admitter"
 	"github.com/redwingledge/redwingledge/shared/models/director"
-	"github.com/redwingledge/redwingledge/shared/models/loadsharer"
 )
 
 const (
@@ -44,32 +41,6 @@
 	sharedLifetime = 6 * time.Second
 )
 
-// rateMeter measures a rate of events.
-type rateMeter struct {
-	startedAt time.Time
-	count     int
-	perSecond float64
-}
-
-func (r *rateMeter) add(now time.Time) {
-	r.advance(now)
-	r.count++
-}
-
-// advance ends the windows that have passed.
-func (r *rateMeter) advance(now time.Time) {
-	passed := now.Sub(r.startedAt)
-	if passed < arrivalWindow {
-		return
-	}
-	if passed > 8*arrivalWindow {
-		*r = rateMeter{startedAt: now}
-		return
-	}
-	r.perSecond += arrivalSmoothing * (float64(r.count)/passed.Seconds() - r.perSecond)
-	r.startedAt, r.count = now, 0
-}
-
 // groupLoad counts the requests in progress at the backend servers of a service in one data centre.
 type groupLoad struct {
 	service    *serviceLoad
@@ -89,14 +60,6 @@
 	return max(g.shared-float64(g.confirmed), 0) + float64(g.requests)
 }
 
-// requestInProgress identifies a request whose count expires.
-type requestInProgress struct {
-	key   flowKey
-	since time.Time
-	// sentAt is when the link of the entry has carried the request.
-	sentAt time.Time
-}
-
 // longRequests tells how many of the last requests of one priority of a service came on long flows.
 type longRequests struct {
 	// share is that of the last requests, counted up to longShareWindow, that came on flows which had one before.
@@ -210,110 +173,6 @@
 	s.ranks = s.priorities.Record(priority, now)
 }
 
-// begin counts a flow as having a request in progress at a group.
-func (g *groupLoad) begin(key flowKey, f *flow, linkWait time.Duration, now time.Time) {
-	if f.progress != nil {
-		return
-	}
-	f.progress, f.progressSince = g, now
-	g.requests++
-	g.service.requests++
-	g.service.inProgress = append(g.service.inProgress, requestInProgress{key: key, since: now, sentAt: now.Add(linkWait)})
-}
-
-// endProgress ends the count of a flow's request, if it has one.
-func (f *flow) endProgress() {
-	if f.progress == nil {
-		return
-	}
-	f.progress.requests--
-	f.progress.service.requests--
-	f.progress = nil
-}
-
-// endRequest ends the count of an answered request and records its response time, which may be longer than
-// the count has lasted. Otherwise the counts of a slow service would never last longer.
-func (b *Balancer) endRequest(f *flow, now time.Time) {
-	server, ok := b.directory.Server(f.token)
-	if b.admitter == nil || !ok {
-		f.endProgress()
-		return
-	}
-	g := b.selector.loads.of(server.Service).group(server.DataCentre)
-	g.service.recordResponse(now.Sub(f.requestedAt), g.total() < unloadedUse*float64(g.slots))
-	f.endProgress()
-}
-
-// recordResponse records the time of a response.
-func (s *serviceLoad) recordResponse(d time.Duration, isUnloaded bool) {
-	smooth := func(old time.Duration) time.Duration {
-		if old == 0 {
-			return d
-		}
-		return old + time.Duration(responseSmoothing*float64(d-old))
-	}
-	s.responseTime = smooth(s.responseTime)
-	if isUnloaded {
-		s.unloadedTime = smooth(s.unloadedTime)
-	}
-}
-
-func (s *serviceLoad) expiry() time.Duration {
-	if s.responseTime == 0 {
-		return firstExpiry
-	}
-	return min(max(expiryFactor*s.responseTime, minExpiry), maxExpiry)
-}
-
-// expireRequests ends the counts of requests of a service that have been in progress for too long to be.
-func (b *Balancer) expireRequests(s *serviceLoad, now time.Time) {
-	expired := 0
-	for _, r := range s.inProgress {
-		f := b.flows[r.key]
-		isCurrent := f != nil && f.progress != nil && f.progress.service == s && f.progressSince.Equal(r.since)
-		if isCurrent && now.Sub(r.since) < s.expiry() {
-			break
-		}
-		if isCurrent {
-			f.endProgress()
-			b.releaseRequest(f, now)
-		}
-		expired++
-	}
-	s.inProgress = s.inProgress[expired:]
-}
-
-// beginRequest counts a request as in progress at a backend server.
-func (b *Balancer) beginRequest(key flowKey, f *flow, server director.Server, now time.Time) {
-	if b.admitter == nil {
-		return
-	}
-	s := b.selector.loads.of(server.Service)
-	route, _ := b.directory.Route(key.destination)
-	s.longRequests[route.Priority].record(f.hasRequested)
-	if f.hasRequested {
-		// The first request of a flow was counted as an arrival with its opening packet.
-		s.arrivals.add(now)
-		b.admitter.RecordRequest(server.Service, route.Priority)
-	}
-	s.group(server.DataCentre).begin(key, f, b.linkWait(now), now)
-}
-
-// waiting counts the requests of a service that wait for the link of the entry, by data centre. No backend server
-// has them yet: a full link would look like full slots.
-func (b *Balancer) waiting(s *serviceLoad, now time.Time) map[string]int {
-	counts := make(map[string]int)
-	for _, r := range slices.Backward(s.inProgress) {
-		if !r.sentAt.After(now) {
-			break
-		}
-		if f := b.flows[r.key]; f != nil && f.progress != nil && f.progressSince.Equal(r.since) {
-			counts[f.progress.dataCentre]++
-		}
-	}
-	return counts
-}
-
 // load returns the load of a service for a decision on a new flow. Data centres that do not answer are left
 // out, because their slots serve nothing, unless the link of this entry may have lost the packets.
 func (b *Balancer) load(s *serviceLoad, groups []*group, route director.Route, isLinkLimiting bool, now time.Time) admitter.Load {
@@ -335,77 +194,3 @@
 	}
 	return l
 }
-
-// LoadReport returns the load that this entry sees, for a report to the other entries. Open flows at
-// backend servers are included if withServers is set.
-func (b *Balancer) LoadReport(withServers bool, now time.Time) loadsharer.Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var load loadsharer.Load
-	for _, s := range b.selector.loads.services {
-		b.expireRequests(s, now)
-		s.arrivals.advance(now)
-		rate := uint32(s.arrivals.perSecond + 0.5)
-		s.reportedArrivals = float64(rate)
-		// A figure of 0 changes no sum, and the table keeps services that were removed.
-		if rate > 0 {
-			load.Arrivals = append(load.Arrivals, loadsharer.ServiceArrivals{Service: s.name, PerSecond: rate})
-		}
-		waiting := b.waiting(s, now)
-		for _, g := range s.groups {
-			if g.reported = g.requests - waiting[g.dataCentre]; g.reported > 0 {
-				load.Groups = append(load.Groups, loadsharer.GroupLoad{Service: s.name, DataCentre: g.dataCentre, Requests: uint32(g.reported)})
-			}
-		}
-	}
-	if withServers {
-		for token, n := range b.countLongFlows(now) {
-			load.Servers = append(load.Servers, loadsharer.ServerLoad{Token: token, Flows: uint32(n)})
-		}
-		slices.SortFunc(load.Servers, func(a, b loadsharer.ServerLoad) int { return cmp.Compare(a.Token, b.Token) })
-	}
-	return load
-}
-
-// countLongFlows counts the long flows that are in use, by backend server. Short ones end before the other
-// entries hear of them.
-func (b *Balancer) countLongFlows(now time.Time) map[director.Token]int {
-	counts := make(map[director.Token]int)
-	for _, f := range b.flows {
-		if f.isEstablished && now.Sub(f.openedAt) >= longFlowAge && now.Sub(f.lastPacketAt) < sharedLifetime {
-			counts[f.token]++
-		}
-	}
-	return counts
-}
-
-// SetSharedLoad replaces the shared figures by those of a summary, of which the last LoadReport counts as a
-// part.
-func (b *Balancer) SetSharedLoad(summary loadsharer.Summary, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.selector.loads.sharedAt = now.Add(-summary.Age)
-	for _, s := range b.selector.loads.services {
-		for _, g := range s.groups {
-			g.shared, g.confirmed = 0, g.reported
-		}
-	}
-	// Services and data centres that this entry does not know are left out, so that a summary cannot grow
-	// the table.
-	arrivals := make(map[string]uint32, len(summary.Load.Arrivals))
-	for _, a := range summary.Load.Arrivals {
-		arrivals[a.Service] = a.PerSecond
-	}
-	for name, s := range b.selector.loads.services {
-		s.recordArrivals(float64(arrivals[name]))
-	}
-	for _, g := range summary.Load.Groups {
-		if s := b.selector.loads.services[g.Service]; s != nil && s.groups[g.DataCentre] != nil {
-			s.groups[g.DataCentre].shared = float64(g.Requests)
-		}
-	}
-	if summary.HasServers {
-		b.selector.loads.serversAt = b.selector.loads.sharedAt
-		b.selector.setSharedFlows(summary.Load.Servers)
-	}
-}
