Admit the highest rank up to 4.5 requests for each slot

Cause: at deployment V open flows of the lower rank fill the slots, and with a limit of 4 confirmations were refused for which backend servers still had room (5 for each slot).

--- a/entry/services/admitter/slots.go
+++ b/entry/services/admitter/slots.go
@@ -33,8 +33,9 @@
 	highestRankFactor = 2.5
 	// highestRequestsPerSlot limits the requests in progress for each slot from which the highest rank is refused.
 	// Backend servers with 2 slots and a queue of 8 have room for 5, and some of them are above the mean. With 7.5
-	// they rejected more requests than they served, which took half of the links.
-	highestRequestsPerSlot = 4.0
+	// they rejected more requests than they served, which took half of the links. With 4 flows of the highest rank
+	// were refused beside open flows of lower ones that backend servers still had room for.
+	highestRequestsPerSlot = 4.5
 	// maxSharedAge is the age from which shared figures are too old to refuse a flow by them.
 	maxSharedAge = 2 * time.Second
 )
