Tell other entries which backend server holds a flow with a late answer

Cause: a caller returns the token that it received last. If a backend server answers an opening packet after a copy of it has opened the flow at another one, that token names the wrong one. Only the entry that has carried the flow knows the holder, and it kept this to itself, so that every other entry followed the token. A killed entry and the start of another one led to the same.

Change: entries publish the holder of such flows through control as soon as they open, and look for a published holder before they follow the token of a flow that they have not carried.

This works because the acknowledgements of the caller, which every entry sees, tell whether a flow is still the one whose holder was published.

--- a/entry/routers/dispatcher/recorder.go
+++ b/entry/routers/dispatcher/recorder.go
@@ -110,7 +110,7 @@
 	r.logger.LogAttrs(context.Background(), slog.LevelInfo, message,
 		slog.String(log.FieldCaller, p.Source.String()), slog.String(log.FieldRoute, p.Destination.String()),
 		slog.Uint64(log.FieldToken, uint64(v.Server.Token)), slog.String(log.FieldHost, v.Server.Host), slog.String(log.FieldDataCentre, v.Server.DataCentre),
-		slog.Uint64("other_token", uint64(other)), slog.Uint64("acknowledged", uint64(p.Acknowledged)),
+		slog.Uint64("other_token", uint64(other)), slog.Uint64("acknowledged", uint64(p.Acknowledged)), slog.Bool("published", v.IsPublished),
 		slog.Uint64(log.FieldIndex, v.View.Index), slog.Uint64(log.FieldVersion, v.View.Version),
 		slog.Duration(log.FieldAge, v.View.Age), slog.Int(log.FieldLeftOut, suppressed))
 }
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -59,13 +59,14 @@
 	admitter        *admitter.Admitter
 	refusedOpenings *refusedOpenings
 	detector        detector.Detector
+	held            *heldFlows
 }
 
 // New returns a Balancer without a view.
 func New(settings Settings, rng *rand.Rand) *Balancer {
 	b := &Balancer{
 		settings: settings, rng: rng, directory: director.NewDirectory(),
-		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow),
+		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow), held: newHeldFlows(),
 	}
 	if settings.Overload != nil {
 		b.admitter = admitter.New(*settings.Overload)
@@ -187,6 +188,11 @@
 			verdict.MovedFrom = f.token
 		}
 	}
+	if f == nil || !f.isEstablished {
+		if holder, isPublished := b.publishedHolder(p, route); isPublished {
+			server, ok, verdict.IsKept, verdict.IsPublished = holder, true, true, true
+		}
+	}
 	switch {
 	case !ok:
 		return b.refuse(p, ActionDrop, ReasonUnknownToken)
@@ -273,15 +279,27 @@
 		}
 		return b.refuseOpening(p, ReasonNoServer, now)
 	}
+	isAmbiguous := b.mayOpenElsewhere(p, known, token)
 	b.untrack(key, now)
 	if b.refusedOpenings != nil {
 		b.refusedOpenings.recordForwarded(p, now)
 	}
 	placement := b.selector.describe(server, tried, now)
-	f := b.track(key, flow{token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now, linkWait: b.linkWait(now)})
+	f := b.track(key, flow{
+		token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now, linkWait: b.linkWait(now), isAmbiguous: isAmbiguous,
+	})
 	return Verdict{Action: ActionForward, Server: server, Placement: placement, Ticket: b.offerSecondOpening(p, f, route, tried, now)}
 }
 
+// mayOpenElsewhere reports whether a flow that is placed at the backend server of token may open at another one: this
+// entry has sent the opening packet there before, or another entry may have. known is nil if it has sent none.
+func (b *Balancer) mayOpenElsewhere(p Packet, known *flow, token director.Token) bool {
+	if known != nil {
+		return known.isAmbiguous || known.token != token
+	}
+	return p.Retransmissions > 0 && (b.refusedOpenings == nil || !b.refusedOpenings.hasAllBefore(p))
+}
+
 // pick returns the token of the backend server for a new flow, or 0. If the chosen service has no
 // backend server available, another service of the route with a weight is used.
 func (b *Balancer) pick(route director.Route, chosen string, tried director.Token, now time.Time) director.Token {
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -59,6 +59,11 @@
 	// progress counts the request in progress since progressSince; nil if there is none.
 	progress      *groupLoad
 	progressSince time.Time
+	// isAmbiguous is set if another backend server may have got an opening packet of the flow, too, so that the
+	// caller may return its token.
+	isAmbiguous bool
+	// isPublished is set once other entries are told which backend server holds the flow.
+	isPublished bool
 	// second is set from the second opening until the caller has acknowledged an answer or sent a copy. token
 	// is then the second backend server.
 	second *second
@@ -107,11 +112,17 @@
 // the opening packet; the caller acknowledges data of the one that holds the flow, and each starts its
 // sequence anywhere.
 func (b *Balancer) holderOf(f *flow, p Packet, route director.Route) (director.Server, bool) {
-	distance := int32(p.Acknowledged - f.acknowledged)
+	return b.holder(f.token, f.acknowledged, p, route)
+}
+
+// holder returns the backend server of a token if it holds the flow of a packet: the caller goes on acknowledging its
+// data, of which acknowledged is an earlier position.
+func (b *Balancer) holder(token director.Token, acknowledged uint32, p Packet, route director.Route) (director.Server, bool) {
+	distance := int32(p.Acknowledged - acknowledged)
 	if distance > maxAcknowledgedStep || distance < -maxAcknowledgedStep {
 		return director.Server{}, false
 	}
-	holder, ok := b.directory.Server(f.token)
+	holder, ok := b.directory.Server(token)
 	return holder, ok && holder.State != director.StateGone && route.Allows(holder.Service)
 }
 
@@ -123,14 +134,21 @@
 		return
 	}
 	if f == nil || f.token != server.Token {
+		// The flow has opened at another backend server than the one to which this entry has sent the opening packet.
+		isAmbiguous := f != nil && !f.isEstablished
 		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
-		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, isReused: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now}); f == nil {
+		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, isReused: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now, isAmbiguous: isAmbiguous}); f == nil {
 			return
 		}
 	}
 	f.lastPacketAt = now
 	b.recordAnswer(f, p, now)
+	// A packet with another token shows that several backend servers have got the opening packet.
+	if !f.isPublished && (f.isAmbiguous || p.Token != f.token) {
+		f.isPublished = true
+		b.held.publish(key, f, now)
+	}
 	if p.HasData {
 		b.recordRequest(key, f, p, server, now)
 	}
@@ -188,6 +206,7 @@
 	if timeout <= 0 {
 		timeout = defaultIdleTimeout
 	}
+	b.held.forget(now)
 	for key, f := range b.flows {
 		if now.Sub(f.lastPacketAt) > timeout {
 			b.untrack(key, now)
--- a/entry/services/balancer/packet.go
+++ b/entry/services/balancer/packet.go
@@ -116,6 +116,8 @@
 	// IsKept is set if the token of a forwarded packet names another backend server than the one that
 	// holds its flow, and the packet goes to the latter.
 	IsKept bool
+	// IsPublished is set if the holder is known from another entry that carried the flow before.
+	IsPublished bool
 	// IsLate is set on a first opening packet that is dropped instead of reset because it waited in the socket.
 	IsLate bool
 	// IsWithheld is set on an opening packet that is dropped instead of reset because the link has no room.
--- a/entry/services/balancer/refused_copy.go
+++ b/entry/services/balancer/refused_copy.go
@@ -45,10 +45,7 @@
 func (r *refusedOpenings) record(p Packet, now time.Time) bool {
 	r.advance(now)
 	key := openingKeyOf(p)
-	count, isCurrent := r.current[key]
-	if !isCurrent {
-		count = r.previous[key]
-	}
+	count, isCurrent := r.count(key)
 	if p.Retransmissions != count {
 		return false
 	}
@@ -58,6 +55,20 @@
 	return true
 }
 
+// count returns the number of refused packets of a flow, and whether it was counted in the current period.
+func (r *refusedOpenings) count(key openingKey) (count uint32, isCurrent bool) {
+	if count, isCurrent = r.current[key]; !isCurrent {
+		count = r.previous[key]
+	}
+	return count, isCurrent
+}
+
+// hasAllBefore reports whether all earlier packets of the flow of an opening packet were refused.
+func (r *refusedOpenings) hasAllBefore(p Packet) bool {
+	count, _ := r.count(openingKeyOf(p))
+	return count == p.Retransmissions
+}
+
 // recordForwarded records that an opening packet is forwarded. If the flow is remembered, a duplicate of an earlier
 // packet does not make it count as refused again.
 func (r *refusedOpenings) recordForwarded(p Packet, now time.Time) {
--- a/entry/services/balancer/second_opening.go
+++ b/entry/services/balancer/second_opening.go
@@ -89,7 +89,7 @@
 	}
 	h.Spend()
 	decision.Server = other.server
-	f.second = &second{first: f.token, openedAt: opening.OpenedAt}
+	f.second, f.isAmbiguous = &second{first: f.token, openedAt: opening.OpenedAt}, true
 	b.moveFlow(f, other.choose(now), now)
 	// It stands in for the caller's first copy, so that this copy goes to the same backend server.
 	f.retransmissions++
