Let a restarted replica take over all held flows of the others

Cause: a replica that had started again took over only what entries had published at the others. Flows that had been published at itself were lost to it if their entry had ended meanwhile, and an entry that started then and followed it did not learn their holders.

Change: a replica asks the others once for all that they have, then for what is published there. An entry that starts is ready after the last of several messages, not after the first.

Figures: TestReplicasShareFlows requires both flows after the restart; it got one before.

--- a/control/routers/flowexchanger/flowexchanger.go
+++ b/control/routers/flowexchanger/flowexchanger.go
@@ -154,25 +154,25 @@
 	}
 }
 
-// follow takes over what entries publish at another replica until ctx ends.
+// follow takes over what entries publish at another replica until ctx ends, and before that all that it has: this
+// replica may have started again, and the entries that have published the flows may have ended.
 func (e *Exchanger) follow(ctx context.Context, replica netip.AddrPort) {
 	defer e.options.Pool.Disconnect(replica)
-	var reached flowsharer.Position
+	req := &flowsharer.WatchRequest{Wait: flowsharer.MaxWait}
 	for ctx.Err() == nil {
-		response, err := e.poll(ctx, replica, reached)
-		if err != nil && ctx.Err() == nil {
-			e.options.Counters.Int("held_flows_watches_failed").Add(1)
-			e.options.Logger.Debug("held flows of a replica are missing", log.FieldReplica, replica, log.FieldError, err)
-			if status.Code(err) == codes.DeadlineExceeded {
-				e.options.Pool.Disconnect(replica)
-			}
-		}
+		response, err := e.poll(ctx, replica, req)
 		if err == nil {
-			reached = response.UpTo
 			e.options.Keeper.Add(response.Flows, false, e.options.Clock.Now())
+			req = &flowsharer.WatchRequest{After: response.UpTo, Wait: flowsharer.MaxWait, OnlyPublished: req.OnlyPublished || response.IsLast()}
 			if len(response.Flows) == 0 {
 				continue
 			}
+		} else if ctx.Err() == nil {
+			e.options.Counters.Int("held_flows_watches_failed").Add(1)
+			e.options.Logger.Debug("held flows of a replica are missing", log.FieldReplica, replica, log.FieldError, err)
+			if status.Code(err) == codes.DeadlineExceeded {
+				e.options.Pool.Disconnect(replica)
+			}
 		}
 		e.pause(ctx)
 	}
@@ -187,10 +187,9 @@
 	}
 }
 
-func (e *Exchanger) poll(ctx context.Context, replica netip.AddrPort, after flowsharer.Position) (*flowsharer.WatchResponse, error) {
+func (e *Exchanger) poll(ctx context.Context, replica netip.AddrPort, req *flowsharer.WatchRequest) (*flowsharer.WatchResponse, error) {
 	call, cancel := context.WithTimeout(ctx, flowsharer.MaxWait+roundTripAllowance)
 	defer cancel()
-	req := &flowsharer.WatchRequest{After: after, Wait: flowsharer.MaxWait, OnlyPublished: true}
 	response, err := transporter.Call[flowsharer.WatchRequest, flowsharer.WatchResponse](call, e.options.Pool, replica, flowsharer.WatchMethod, req)
 	if err != nil {
 		return nil, err
--- a/control/routers/flowexchanger/flowexchanger_test.go
+++ b/control/routers/flowexchanger/flowexchanger_test.go
@@ -64,7 +64,8 @@
 	require.Eventually(t, func() bool { return r.options.Keeper.Len() == count }, 10*time.Second, 10*time.Millisecond)
 }
 
-// Guards against flows that reach only the entries of one replica, also after another one has started again.
+// Guards against flows that reach only the entries of one replica, and against those that are lost with the memory of
+// the one at which they were published.
 func TestReplicasShareFlows(t *testing.T) {
 	t.Parallel()
 	m := new(members)
@@ -82,7 +83,7 @@
 	b.server.Stop()
 	restarted := startReplica(t, b.options.Address.String(), 3, m)
 	go restarted.Run(t.Context())
-	requireFlows(t, restarted, 1)
+	requireFlows(t, restarted, 2)
 	_, err := restarted.publish(t.Context(), newRequest(3))
 	require.NoError(t, err)
 	requireFlows(t, a, 3)
--- a/entry/routers/flowexchanger/flowexchanger.go
+++ b/entry/routers/flowexchanger/flowexchanger.go
@@ -164,7 +164,9 @@
 			req.Within = e.options.Clock.Now().Sub(reachedAt) + spreadTime
 		}
 		response, err := e.poll(ctx, replica, req)
-		e.hasWatched.Store(true)
+		if err != nil || response.IsLast() {
+			e.hasWatched.Store(true)
+		}
 		if err != nil {
 			e.recordFailure(ctx, replica, err)
 			e.wait(ctx, pauseAfter(err))
--- a/shared/models/flowsharer/flow.go
+++ b/shared/models/flowsharer/flow.go
@@ -98,6 +98,9 @@
 // Check returns ErrInvalid for the first invalid flow, or nil if all are valid.
 func (r WatchResponse) Check() error { return check(r.Flows) }
 
+// IsLast reports whether the replica had no further flows.
+func (r WatchResponse) IsLast() bool { return len(r.Flows) < MaxFlows }
+
 func check(flows []HeldFlow) error {
 	if len(flows) > MaxFlows {
 		return fmt.Errorf("%w: flows: must be at most %d, are %d", ErrInvalid, MaxFlows, len(flows))
