Remember the sequence at which a flow starts

Cause: compares the sequence of an opening packet with that at which the flow started, but did not record it. Until the caller's first packet after the opening, each copy was taken for a new flow: it did not go to another backend server than the one that had not answered, and the silence of that one was not noticed. Found while reading the change; no test failed, as the one for copies went through an entry with a single local backend server.

Change: the sequence is recorded, and kept if the flow opens at another backend server than this entry has chosen. TestCopyOpensNoNewFlow requires what becomes of a copy in each case.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -294,7 +294,8 @@
 	}
 	placement := b.selector.describe(server, tried, now)
 	f := b.track(key, flow{
-		token: token, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now, linkWait: b.linkWait(now), isAmbiguous: isAmbiguous,
+		token: token, opening: p.Sequence, hasOpening: true, retransmissions: p.Retransmissions, openedAt: now, lastPacketAt: now,
+		linkWait: b.linkWait(now), isAmbiguous: isAmbiguous,
 	})
 	return Verdict{Action: ActionForward, Server: server, Placement: placement, Ticket: b.offerSecondOpening(p, f, route, tried, now)}
 }
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -180,11 +180,14 @@
 		return
 	}
 	if f == nil || f.token != server.Token || f.isClosed && !f.isContinuedBy(p) {
-		// The flow has opened at another backend server than the one to which this entry has sent the opening packet.
-		isAmbiguous := f != nil && !f.isEstablished
-		b.untrack(key, now)
 		// Another entry carried the flow before, so its state is unknown.
-		if f = b.track(key, flow{token: server.Token, isEstablished: true, isAnswered: true, isReused: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now, isAmbiguous: isAmbiguous}); f == nil {
+		taken := flow{token: server.Token, isEstablished: true, isAnswered: true, isReused: true, acknowledged: p.Acknowledged, openedAt: now, lastPacketAt: now}
+		if f != nil && !f.isEstablished {
+			// It has opened at another backend server than the one to which this entry has sent the opening packet.
+			taken.opening, taken.hasOpening, taken.isAmbiguous = f.opening, f.hasOpening, true
+		}
+		b.untrack(key, now)
+		if f = b.track(key, taken); f == nil {
 			return
 		}
 	}
--- a/entry/services/balancer/reused_port_test.go
+++ b/entry/services/balancer/reused_port_test.go
@@ -124,27 +124,47 @@
 // Guards against a copy of an opening packet that is taken for a new flow, which would open at two backend servers.
 func TestCopyOpensNoNewFlow(t *testing.T) {
 	t.Parallel()
-	b := newBalancer(t, serverChanged(1, director.StateReady), director.ServerChanged{Server: server(2, "orders", "b")})
+	newEntry := func(t *testing.T, state director.State) *balancer.Balancer {
+		t.Helper()
+		return newBalancer(t, serverChanged(1, state), director.ServerChanged{Server: server(2, "orders", "b")})
+	}
 	t.Run("before an answer", func(t *testing.T) {
-		u := newPortUser(t, b)
+		u := newPortUser(t, newEntry(t, director.StateReady))
 		requireForwarded(t, u.open(), 1)
-		requireForwarded(t, u.sendCopy(), 1)
+		v := u.sendCopy()
+		requireForwarded(t, v, 1)
+		require.False(t, v.Placement.IsNew)
+	})
+	t.Run("after a time without an answer", func(t *testing.T) {
+		u := newPortUser(t, newEntry(t, director.StateReady))
+		token := u.open().Server.Token
+		u.now = u.now.Add(firstRetransmission)
+		v := u.sendCopy()
+		requireForwarded(t, v, 3-token)
+		require.Equal(t, token, v.Placement.Tried)
+	})
+	t.Run("of a flow that has opened elsewhere", func(t *testing.T) {
+		u := newPortUser(t, newEntry(t, director.StateReady))
+		requireForwarded(t, u.open(), 1)
+		requireForwarded(t, u.entry.Decide(u.packet(balancer.Packet{Token: 2}), u.now), 2)
+		u.entry.Update(2, []director.Change{director.DataCentreChanged{Name: "b", TakenOut: true}}, false, u.now)
+		requireRefused(t, u.sendCopy(), balancer.ActionDrop, balancer.ReasonLateCopy)
 	})
 	t.Run("of an open flow", func(t *testing.T) {
-		u := newPortUser(t, b)
+		u := newPortUser(t, newEntry(t, director.StateReady))
 		u.use(1)
 		requireForwarded(t, u.sendCopy(), 1)
-		b.Update(2, []director.Change{director.DataCentreChanged{Name: "a", TakenOut: true}}, false, u.now)
+		u.entry.Update(2, []director.Change{director.DataCentreChanged{Name: "a", TakenOut: true}}, false, u.now)
 		requireRefused(t, u.sendCopy(), balancer.ActionDrop, balancer.ReasonLateCopy)
 	})
 	t.Run("of an open flow of another entry", func(t *testing.T) {
-		u := newPortUser(t, newBalancer(t, serverChanged(1, director.StateDraining), director.ServerChanged{Server: server(2, "orders", "b")}))
+		u := newPortUser(t, newEntry(t, director.StateDraining))
 		u.sequence = 5
 		requireForwarded(t, u.entry.Decide(u.packet(balancer.Packet{Token: 1, HasData: true}), u.now), 1)
 		requireRefused(t, u.sendCopy(), balancer.ActionDrop, balancer.ReasonLateCopy)
 	})
 	t.Run("to a data centre that was taken out since", func(t *testing.T) {
-		u := newPortUser(t, newBalancer(t, serverChanged(1, director.StateReady), director.ServerChanged{Server: server(2, "orders", "b")}))
+		u := newPortUser(t, newEntry(t, director.StateReady))
 		requireForwarded(t, u.open(), 1)
 		u.entry.Update(2, []director.Change{director.DataCentreChanged{Name: "a", TakenOut: true}}, false, u.now)
 		requireForwarded(t, u.sendCopy(), 2)
