Look for a published holder also if an earlier flow from the port is known

Cause: an entry that knew an established flow between the addresses did not look for a published holder. If that was an earlier flow from the same port, closed or given up, it followed the token of a late answer to a backend server that does not hold the flow.

Change: the entry's own knowledge counts only if the packet continues that flow.

--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -191,7 +191,7 @@
 			verdict.MovedFrom = f.token
 		}
 	}
-	if f == nil || !f.isEstablished {
+	if f == nil || !f.isEstablished || !f.isContinuedBy(p) {
 		if holder, isPublished := b.publishedHolder(p, route); isPublished {
 			server, ok, verdict.IsKept, verdict.IsPublished = holder, true, true, true
 		}
--- a/entry/services/balancer/held_flow_test.go
+++ b/entry/services/balancer/held_flow_test.go
@@ -64,6 +64,20 @@
 		c.receive(forwarded, start)
 		requireKept(t, c)
 	})
+	t.Run("an entry that has carried an earlier flow between the same addresses", func(t *testing.T) {
+		t.Parallel()
+		for name, end := range map[string]balancer.Packet{"closed": {IsFinal: true}, "given up": {HasData: true}} {
+			c := newTwoAnswers(t)
+			c.openWithLateAnswer()
+			receiver := c.publish(start)
+			earlier := end
+			earlier.Source, earlier.Destination, earlier.Token, earlier.Acknowledged = caller, route, c.flow.token, c.flow.sequence+1<<30
+			requireForwarded(t, receiver.Decide(earlier, start), c.flow.token)
+			c.entry = receiver
+			c.sendData(1, later)
+			require.False(t, c.isReset, "%s: the caller got a reset that its backend server did not send", name)
+		}
+	})
 	t.Run("an entry that has sent an opening packet to the other backend server itself", func(t *testing.T) {
 		t.Parallel()
 		c := newTwoAnswers(t)
