Require each kind of refusal of two seeds of TestExplain again

Cause: replaced a check by a weaker one. Before, each of two seeds had to meet all four kinds of refusal on its own; since then the kinds had to come in four seeds together.

Change: of the four seeds at least two must each meet all kinds, as many as before. A test only; no code changes.

--- a/entry/services/balancer/explanation_test.go
+++ b/entry/services/balancer/explanation_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,22 +137,20 @@
 	for name, overload := range map[string]*admitter.Settings{"no limits": nil, "slots": {LowestShare: 0.1}, "slots and link": {LinkRate: 100_000, LowestShare: 0.1}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var mu sync.Mutex
-			seen := make(map[string]int)
+			// complete counts the seeds that meet each kind of refusal, which is chance.
+			var complete atomic.Int32
 			t.Cleanup(func() {
 				if name == "slots and link" {
-					require.Subset(t, slices.Collect(maps.Keys(seen)), []string{"reset over_capacity", "reset link_full", "reset unreachable", "reset no_server"})
+					require.GreaterOrEqual(t, complete.Load(), int32(2), "seeds with each kind of refusal")
 				}
 			})
 			for seed := range uint64(4) {
 				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 					t.Parallel()
-					outcomes := requireExplanations(t, seed, overload)
-					require.Greater(t, outcomes["forward "], 300, outcomes)
-					mu.Lock()
-					defer mu.Unlock()
-					for outcome, count := range outcomes {
-						seen[outcome] += count
+					seen := requireExplanations(t, seed, overload)
+					require.Greater(t, seen["forward "], 300, seen)
+					if seen["reset over_capacity"] > 0 && seen["reset link_full"] > 0 && seen["reset unreachable"] > 0 && seen["reset no_server"] > 0 {
+						complete.Add(1)
 					}
 				})
 			}
