Show acknowledged state that is lost after a planned replacement and a lost disk

A follower of control is replaced as planned, the successor first. Another one loses its disk 0.2 s after the SIGTERM. The leader lets the machine that stops vote again after it has ended, so that two of four voters never answer, and control has no leader any more. One machine may be lost, and no more than one is.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,9 +28,9 @@
 }
 
 func main() {
-	cases := map[string]func(*play) error{"replaced": playReplaced, "tolerance": playTolerance, "service": playService}
+	cases := map[string]func(*play) error{"replaced": playReplaced, "stopped": playStopped, "tolerance": playTolerance, "service": playService}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 replaced|tolerance|service FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin-3 replaced|stopped|tolerance|service FOLDER")
 		os.Exit(2)
 	}
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
