--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -130,7 +130,7 @@
 		state.Services = append(state.Services, service{Name: name, HealthPath: "/health", MaxConnections: 2000, Protocol: "h1", ColdStart: 2})
 		if i < routed {
 			state.Routes = append(state.Routes, route{
-				Name: "r-" + name, Hostname: "198.18.0.1", PathPrefix: []string{"/8080/", "/8443/"}[i], Type: "safe", Timeout: 2000, TargetLatency: 150,
+				Name: "r-" + name, Hostname: "127.198.18.1", PathPrefix: []string{"/8080/", "/8443/"}[i], Type: "safe", Timeout: 2000, TargetLatency: 150,
 				Priority: 1, Service: name, MaxAttempts: 2,
 			})
 		}
