Log the names of the replicas that vote

Whether the replica that stops had kept its vote or got it back could not be told. Change: "replica membership" has the names of the voters and of those that stand by, and is logged for each change of the membership.

--- a/control/services/driver/status.go
+++ b/control/services/driver/status.go
@@ -1,6 +1,11 @@
 package driver
 
-import "github.com/redwingledge/redwingledge/control/services/replicator"
+import (
+	"slices"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+)
 
 // updateStatus publishes the state of the Machine and logs its changes.
 func (d *Driver) updateStatus() {
@@ -15,12 +20,25 @@
 	if before.Verified != status.Verified {
 		d.options.Logger.Info("replica verification", "verified", status.Verified)
 	}
-	if before.Membership.Voters() != status.Membership.Voters() || len(before.Membership.Members) != len(status.Membership.Members) {
-		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", status.Membership.Voters())
+	if !slices.Equal(before.Membership.Members, status.Membership.Members) {
+		voters, standbys := namesByVote(status.Membership)
+		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", voters, "standbys", standbys)
 	}
 	d.logCurrent()
 }
 
+// namesByVote returns the names of the members that vote and of those that do not.
+func namesByVote(membership storer.Membership) (voters, standbys []string) {
+	for _, member := range membership.Members {
+		if member.Voter {
+			voters = append(voters, member.Name)
+		} else {
+			standbys = append(standbys, member.Name)
+		}
+	}
+	return voters, standbys
+}
+
 // logCurrent logs when this replica becomes current or stops being current.
 func (d *Driver) logCurrent() {
 	status := d.Status()
