Keep a replica that stops from voting again

Cause: the leader took the stopping replica for leaving for one election timeout after its last request, and for active for one after its last answer, up to 0.5 s later. In between it made it a voter again in place of the silent one, so that three of four were needed and two were left. Two related paths: a stopping standby could not say so and was made a voter likewise, and a dead voter kept its vote unless MinVoters voters answered and stayed.

Change: a stopping replica repeats its request until its process ends, also as a standby, and without a vote answers as one that must not be counted. The leader remembers it for two election timeouts. A silent or leaving voter is demoted if MinVoters others vote and a majority of them answers. This works because no answer of a stopping replica can outlive the knowledge that it stops, and no vote counts for longer than the others need it.

--- a/control/cmd/control/services.go
+++ b/control/cmd/control/services.go
@@ -221,7 +221,7 @@
 			readiness.Set(false)
 			stop, cancelStop := context.WithTimeout(stop, s.transferTimeout())
 			defer cancelStop()
-			replica.TransferLeadership(stop)
+			replica.PrepareStop(stop)
 			return nil
 		},
 	})
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -68,6 +68,7 @@
 	inputs     *buffer.Ring[replicator.Input]
 	applyQueue *buffer.Ring[any]
 	nextID     atomic.Uint64
+	isStopping atomic.Bool
 	wg         sync.WaitGroup
 	ticks      *timer.Subscription
 	// ctx ends when the replica stops or fails.
@@ -141,9 +142,15 @@
 	go d.runApplier()
 }
 
-// TransferLeadership transfers leadership, and in an open membership the vote, to another replica
-// before a planned stop. It returns once that is done, or when ctx ends, which happens without a
-// majority.
+// PrepareStop transfers leadership, and in an open membership the vote, to another replica, and takes over neither
+// until Stop. It returns once that is done, or when ctx ends, which happens without a majority.
+func (d *Driver) PrepareStop(ctx context.Context) {
+	d.isStopping.Store(true)
+	d.TransferLeadership(ctx)
+}
+
+// TransferLeadership transfers leadership, and in an open membership the vote, to another replica. It
+// returns once that is done, or when ctx ends, which happens without a majority.
 func (d *Driver) TransferLeadership(ctx context.Context) {
 	ticks := d.options.Timer.Subscribe("hand over", d.tickPeriod)
 	defer ticks.Cancel()
@@ -190,6 +197,9 @@
 			// If the queue is full, the tick can be dropped: the inputs in it wake
 			// runSteps as well.
 			_ = d.inputs.TryPush(replicator.Tick{})
+			if d.isStopping.Load() {
+				_ = d.inputs.TryPush(replicator.Resign{}) // repeated at the next tick
+			}
 		}
 	}
 }
--- a/control/services/driver/driver_test.go
+++ b/control/services/driver/driver_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,41 @@
 	awaitVoters(t, replicas, 3)
 	require.Equal(t, total+1, propose(t, replicas, []byte("x")))
 }
+
+// Guards against a replica that votes again while its process ends: a planned stop asked for a replacement of its vote
+// only until it was replaced once.
+func TestStoppingReplicaDoesNotVoteAgain(t *testing.T) {
+	t.Parallel()
+	const election = time.Second
+	peers := newPeers(t, 4)
+	replicas := make([]*replica, len(peers))
+	for i := range peers {
+		settings := settingsOf(peers, i)
+		settings.ElectionTimeout, settings.OpenMembership, settings.SkipVerification = election, true, true
+		settings.MinVoters, settings.MaxVoters, settings.ReplaceSilentAfter = 3, 3, election/2
+		replicas[i] = start(t, settings, storer.Settings{Folder: t.TempDir()})
+	}
+	require.Eventually(t, func() bool {
+		return leaderOf(replicas) >= 0 && !slices.ContainsFunc(replicas, func(r *replica) bool {
+			membership := r.Status().Membership
+			return len(membership.Members) != 4 || membership.Voters() != 3
+		})
+	}, 20*time.Second, 10*time.Millisecond)
+	leader := leaderOf(replicas)
+	var followers []*replica
+	for i, r := range replicas {
+		if i != leader && replicas[leader].Status().Membership.IsVoter(r.Status().ID) {
+			followers = append(followers, r)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	followers[0].PrepareStop(ctx)
+	require.NoError(t, ctx.Err())
+	followers[1].stop()
+	stopping := followers[0].Status().ID
+	require.Never(t, func() bool {
+		at := leaderOf(replicas)
+		return at >= 0 && replicas[at].Status().Membership.IsVoter(stopping)
+	}, 3*election, 10*time.Millisecond)
+}
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -54,7 +54,8 @@
 
 // Resign prepares a planned stop. A leader transfers its leadership to another replica: pending
 // proposals are finished, new ones are refused. In an open membership, a voter then lets another
-// replica vote in its place. It is to be repeated while Status.IsHandoverDue is set.
+// replica vote in its place, and a replica that stands by gets no vote. It holds for one election timeout and is to be
+// repeated until the process ends, which should wait while Status.IsHandoverDue is set.
 type Resign struct {
 	sealedInput
 	Now time.Time
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -2,22 +2,26 @@
 
 import "github.com/redwingledge/redwingledge/control/models/storer"
 
+// leaveElectionTimeouts is the number of election timeouts for which a replica counts as leaving after its last
+// LeaveRequest. A replica whose process has ended counts as active for one after its last response.
+const leaveElectionTimeouts = 2
+
 func (m *Machine) resign() {
-	if m.role != RoleLeader {
-		m.requestLeave()
-		return
-	}
 	if m.isOnlyVoter() {
 		return
 	}
-	if !m.isResigning() {
+	if m.role == RoleLeader && !m.isResigning() {
 		m.counts.LeadershipTransfers++
 	}
-	m.leaderState.resignUntil = m.now.Add(m.settings.ElectionTimeout)
-	m.transferLeadership()
+	m.resignUntil = m.now.Add(m.settings.ElectionTimeout)
+	if m.role == RoleLeader {
+		m.transferLeadership()
+	} else {
+		m.requestLeave()
+	}
 }
 
-func (m *Machine) isResigning() bool { return m.now.Before(m.leaderState.resignUntil) }
+func (m *Machine) isResigning() bool { return m.now.Before(m.resignUntil) }
 
 // transferLeadership asks a voter with the complete log to start an election once no proposal
 // is pending. The leader repeats it at each tick while it is resigning.
@@ -71,7 +75,7 @@
 	// An uncommitted membership may still be replaced by the one before.
 	committed := m.committedMembershipIndex()
 	for _, at := range m.memberships {
-		if at.index >= committed && at.membership.IsVoter(m.id) && at.membership.Voters() < len(at.membership.Members) {
+		if at.index >= committed && at.membership.IsVoter(m.id) && (at.membership.Voters() < len(at.membership.Members) || at.membership.Voters() > m.settings.MinVoters) {
 			return true
 		}
 	}
@@ -89,18 +93,24 @@
 	return index
 }
 
-// requestLeave asks the leader to let another replica vote in place of this one.
+// requestLeave asks the leader to let another replica vote in place of this one, or not to let this one vote.
 func (m *Machine) requestLeave() {
-	if leader, ok := m.membership().Get(m.leader); ok && m.hasLeader() && m.isHandoverDue() {
+	if leader, ok := m.membership().Get(m.leader); ok && m.settings.OpenMembership && m.hasLeader() {
 		m.sendTo(leader, &LeaveRequest{Session: m.session})
 	}
 }
 
+// isResigningStandby reports whether this replica stops as planned and does not vote. No leader may count it then, so
+// that none lets it vote, not even one that has got no LeaveRequest of it.
+func (m *Machine) isResigningStandby() bool {
+	return m.isResigning() && !m.membership().IsVoter(m.id)
+}
+
 func (m *Machine) handleLeaveRequest(from storer.Identity, req *LeaveRequest) {
 	if m.role != RoleLeader {
 		return
 	}
 	if p := m.leaderState.progress[from]; p != nil && p.session == req.Session {
-		p.leavingUntil = m.clock() + int64(m.settings.ElectionTimeout)
+		p.leavingUntil = m.clock() + leaveElectionTimeouts*int64(m.settings.ElectionTimeout)
 	}
 }
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 )
@@ -20,8 +19,6 @@
 	broadcastDue bool
 	heartbeatAt  int64
 	joins        map[storer.Identity]storer.Member
-	// resignUntil is the deadline of a leadership transfer. After it the leader keeps leading.
-	resignUntil time.Time
 }
 
 func (m *Machine) startLeading() {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -62,6 +62,8 @@
 	electionAt    time.Time
 	voteDeadline  time.Time
 	votes         map[storer.Identity]bool
+	// resignUntil is the end of the last request to resign. After it the replica leads and votes like any other.
+	resignUntil time.Time
 	// electionDeferrals counts how often this replica deferred its own election since its last
 	// contact with a leader.
 	electionDeferrals int
@@ -210,5 +212,5 @@
 func (m *Machine) clock() int64 { return int64(m.now.Sub(m.started)) }
 
 func (m *Machine) echo(round uint64, sentAt int64) Echo {
-	return Echo{Round: round, SentAt: sentAt, Session: m.session, Verified: m.verification.done}
+	return Echo{Round: round, SentAt: sentAt, Session: m.session, Verified: m.verification.done && !m.isResigningStandby()}
 }
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -118,14 +118,15 @@
 }
 
 // demoteReplacedVoter makes at most one voter of an open membership a non-voter if it is silent or
-// leaves, and enough others vote. Otherwise it would count against the majority until it is
-// removed, and the next replica that loses its disk could leave no majority.
+// leaves, enough others vote, and a majority of them responds. Otherwise it would count against the
+// majority until it is removed, and the next replica that loses its disk could leave no majority. Of
+// the others, one may be silent, too: with the vote of the first one, that would be two against the majority.
 func (m *Machine) demoteReplacedVoter() bool {
 	if !m.settings.OpenMembership {
 		return false
 	}
 	for _, member := range m.membership().Members {
-		if !member.Voter || m.isStaying(member.ID) || m.countVoters(m.isActiveAndStaying) < m.settings.MinVoters || !m.canRemove(member.ID) {
+		if !member.Voter || m.isStaying(member.ID) || m.membership().Voters() <= m.settings.MinVoters || !m.canRemove(member.ID) {
 			continue
 		}
 		member.Voter = false
@@ -195,10 +196,6 @@
 	return !m.isLeaving(id) && m.hasRespondedWithin(id, timeout)
 }
 
-func (m *Machine) isActiveAndStaying(id storer.Identity) bool {
-	return m.isActive(id) && m.isStaying(id)
-}
-
 func (m *Machine) countVoters(condition func(storer.Identity) bool) int {
 	count := 0
 	for _, member := range m.membership().Members {
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -15,11 +15,13 @@
 // newOpenMembershipSimulation starts replicas of an open membership. The settings list only the
 // first three.
 func newOpenMembershipSimulation(seed uint64, size int) *simulation {
-	return newConfiguredSimulation(seed, size, mutation{}, func(s *Settings) {
-		s.OpenMembership, s.SkipVerification = true, true
-		s.MaxVoters, s.MinVoters, s.RemoveSilentAfter, s.ReplaceSilentAfter = 3, 3, 3500*time.Millisecond, 1200*time.Millisecond
-		s.Peers = slices.Clone(s.Peers[:3])
-	})
+	return newConfiguredSimulation(seed, size, mutation{}, configureOpenMembership)
+}
+
+func configureOpenMembership(s *Settings) {
+	s.OpenMembership, s.SkipVerification = true, true
+	s.MaxVoters, s.MinVoters, s.RemoveSilentAfter, s.ReplaceSilentAfter = 3, 3, 3500*time.Millisecond, 1200*time.Millisecond
+	s.Peers = slices.Clone(s.Peers[:3])
 }
 
 // replace stops a replica for good and starts one with an empty disk at another address.
--- a/control/services/replicator/replaced_voter_test.go
+++ b/control/services/replicator/replaced_voter_test.go
@@ -152,3 +152,36 @@
 		require.LessOrEqual(t, m.membershipIndex(), m.commitIndex, sim.describe())
 	})
 }
+
+// Guards against control that ends for good when two of five replicas may be lost, one is replaced while another has no
+// power, and two then lose their disks: the dead one kept its vote, as fewer than five responded.
+func TestDeadVoterIsReplacedWhileAnotherHasNoPower(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newConfiguredSimulation(seed, 5, mutation{}, func(s *Settings) {
+				configureOpenMembership(s)
+				s.MaxVoters, s.MinVoters = 5, 5
+			})
+			require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+			sim.settings.Bootstrap = false
+			dead, dark, wiped := sim.nodes[0], sim.nodes[3], sim.nodes[4]
+			sim.kill(dead)
+			sim.nodes = sim.nodes[1:]
+			sim.run(300 * time.Millisecond)
+			sim.kill(dark)
+			sim.run(700 * time.Millisecond)
+			sim.startReplacement()
+			sim.run(catchUp)
+			index, _ := sim.commit(t)
+			sim.kill(wiped)
+			dark.disk, wiped.disk = nil, nil
+			sim.run(time.Second)
+			sim.start(dark)
+			sim.start(wiped)
+			sim.run(5 * time.Second)
+			sim.requireMajority(t, index)
+		})
+	}
+}
--- a/control/services/supervisor/supervisor.go
+++ b/control/services/supervisor/supervisor.go
@@ -80,7 +80,14 @@
 	}
 }
 
-// TransferLeadership transfers leadership to another replica before a planned stop.
+// PrepareStop transfers leadership and the vote of this replica before a planned stop; see driver.Driver.
+func (s *Supervisor) PrepareStop(ctx context.Context) {
+	if replica := s.current(); replica != nil {
+		replica.PrepareStop(ctx)
+	}
+}
+
+// TransferLeadership transfers leadership to another replica; see driver.Driver.
 func (s *Supervisor) TransferLeadership(ctx context.Context) {
 	if replica := s.current(); replica != nil {
 		replica.TransferLeadership(ctx)
