Publish the holders of all flows before an entry stops

Cause: an entry publishes the holders of such flows, at most 32 at once and 2 a second after that, on every link. Flows beyond the limit were marked as published and left out for good, also when the entry stopped. The queue to control held 256 and forgot the oldest, published or not, and an entry that knew 8,192 flows of others ignored new ones.

Change: flows beyond the limit wait, the newest go first, and an entry that leaves the rotation publishes all of them. The limit is a share of the entry's own link, so that it stays as it was on 2 Mbit/s and is 16 times that on fast links. The queue holds 4,096, in messages of 256. An entry forgets the oldest flows of others. This works because the routers go on using a stopping entry for a second, in which the others learn all holders.

Tests: "many flows at once" required that over 500 of 600 flows are left out, which is the fault. TestPublishedFlowsAreLimited requires in its place how many are published at once and each second, and that none is left out. TestOutbox bounds the queue at its new size, and a message at 256.

--- a/entry/routers/flowexchanger/flowexchanger.go
+++ b/entry/routers/flowexchanger/flowexchanger.go
@@ -27,6 +27,9 @@
 	// pause is the time between two polls if there are flows, and before a call that has failed is repeated.
 	// Two pauses and the calls fit into the time for which a stopping entry goes on.
 	pause = 100 * time.Millisecond
+	// publishPause is the time between two calls that publish flows, so that many which open at the same time take
+	// few calls.
+	publishPause = 20 * time.Millisecond
 	// spreadTime is the time in which a flow that is published at one replica has reached all others.
 	spreadTime = 5 * time.Second
 	// unknownServicePause is the time until a replica of an earlier version is asked again.
@@ -37,7 +40,7 @@
 
 // Source has the flows of this entry.
 type Source interface {
-	// TakeHeldFlows returns flows that have not been returned before, at most flowsharer.MaxFlows.
+	// TakeHeldFlows returns flows that have not been returned before.
 	TakeHeldFlows() []flowsharer.HeldFlow
 	// HeldFlowsAdded delivers a value when there are flows to take.
 	HeldFlowsAdded() <-chan struct{}
@@ -117,7 +120,9 @@
 			}
 			if err := e.publish(ctx, flows); err != nil {
 				e.wait(ctx, pauseAfter(err))
+				continue
 			}
+			e.wait(ctx, publishPause)
 		}
 	}
 }
--- a/entry/routers/flowexchanger/flowexchanger_test.go
+++ b/entry/routers/flowexchanger/flowexchanger_test.go
@@ -147,8 +147,9 @@
 	o.recordPublished(5, 2)
 	require.False(t, o.recordEpoch(2))
 	require.True(t, o.recordEpoch(3))
-	o.add(make([]flowsharer.HeldFlow, 600), now)
-	require.Len(t, o.next(), maxOutbox)
+	o.add(make([]flowsharer.HeldFlow, maxOutbox+100), now)
+	require.Len(t, o.items, maxOutbox)
+	require.Len(t, o.next(), flowsharer.MaxFlows, "a message has no more")
 	o.add(nil, now.Add(flowsharer.MaxAge+time.Second))
 	require.Empty(t, o.next())
 }
--- a/entry/routers/flowexchanger/outbox.go
+++ b/entry/routers/flowexchanger/outbox.go
@@ -7,8 +7,9 @@
 	"github.com/redwingledge/redwingledge/shared/models/flowsharer"
 )
 
-// maxOutbox bounds the flows of an outbox, published ones included. The oldest are forgotten first.
-const maxOutbox = flowsharer.MaxFlows
+// maxOutbox bounds the flows of an outbox, published ones included. The oldest are forgotten first. It holds all that
+// an entry has when it leaves the rotation.
+const maxOutbox = 4096
 
 // outbox holds the flows of this entry, so that those that a replica has forgotten can be published again. It is safe
 // for concurrent use.
@@ -38,12 +39,12 @@
 	o.items, o.published = o.items[forgotten:], max(o.published-forgotten, 0)
 }
 
-// next returns the flows to publish.
+// next returns the flows to publish, at most flowsharer.MaxFlows.
 func (o *outbox) next() []flowsharer.HeldFlow {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var flows []flowsharer.HeldFlow
-	for _, item := range o.items[o.published:] {
+	for _, item := range o.items[o.published:min(o.published+flowsharer.MaxFlows, len(o.items))] {
 		flows = append(flows, item.flow)
 	}
 	return flows
@@ -55,8 +56,9 @@
 	defer o.mu.Unlock()
 	if o.epoch != epoch {
 		// The replica has only what it has just got.
+		isFirst := o.published == 0
 		o.epoch, o.published = epoch, 0
-		if count < len(o.items) {
+		if !isFirst {
 			return
 		}
 	}
--- a/entry/services/balancer/balancer.go
+++ b/entry/services/balancer/balancer.go
@@ -30,6 +30,8 @@
 	// MaxFlows limits the flows that are tracked to estimate the load. Others are routed all the
 	// same.
 	MaxFlows int
+	// LinkRate is the rate of the entry's link in bytes per second, or 0 if it is not known.
+	LinkRate float64
 	// ObserveResponseTime, if set, is called with the time from each request to the caller's first
 	// acknowledgement of its answer.
 	ObserveResponseTime func(time.Duration)
@@ -60,13 +62,15 @@
 	refusedOpenings *refusedOpenings
 	detector        detector.Detector
 	held            *heldFlows
+	heldPublisher   *heldFlowPublisher
 }
 
 // New returns a Balancer without a view.
 func New(settings Settings, rng *rand.Rand) *Balancer {
 	b := &Balancer{
 		settings: settings, rng: rng, directory: director.NewDirectory(),
-		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow), held: newHeldFlows(),
+		selector: newSelector(settings.Name, settings.DataCentre, rng), flows: make(map[flowKey]*flow),
+		held: newHeldFlows(), heldPublisher: newHeldFlowPublisher(settings.LinkRate),
 	}
 	if settings.Overload != nil {
 		b.admitter = admitter.New(*settings.Overload)
@@ -118,12 +122,14 @@
 	return b.directory.Version > 0
 }
 
-// LeaveRotation withholds second openings and resets of copies before the routers send the flows of this entry
-// through others.
-func (b *Balancer) LeaveRotation() {
+// LeaveRotation withholds second openings and resets of copies, and publishes all holders of flows that wait, before
+// the routers send the flows of this entry through others.
+func (b *Balancer) LeaveRotation(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.detector.Stop()
+	b.heldPublisher.isLeaving = true
+	b.heldPublisher.release(now)
 }
 
 // Status describes the view for counters.
--- a/entry/services/balancer/flow.go
+++ b/entry/services/balancer/flow.go
@@ -73,8 +73,10 @@
 	// isAmbiguous is set if another backend server may have got an opening packet of the flow, too, so that the
 	// caller may return its token.
 	isAmbiguous bool
-	// isPublished is set once other entries are told which backend server holds the flow.
+	// isPublished is set once other entries are told which backend server holds the flow, or will be.
 	isPublished bool
+	// isForgotten is set once the flow is no longer tracked.
+	isForgotten bool
 	// second is set from the second opening until the caller has acknowledged an answer or sent a copy. token
 	// is then the second backend server.
 	second *second
@@ -124,6 +126,7 @@
 		return
 	}
 	b.endLoad(f, now)
+	f.isForgotten = true
 	delete(b.flows, key)
 }
 
@@ -203,7 +206,7 @@
 	// A packet with another token shows that several backend servers have got the opening packet.
 	if !f.isPublished && (f.isAmbiguous || p.Token != f.token) {
 		f.isPublished = true
-		b.held.publish(key, f, now)
+		b.heldPublisher.publish(key, f, now)
 	}
 	if p.HasData {
 		b.recordRequest(key, f, p, server, now)
@@ -263,6 +266,7 @@
 		timeout = defaultIdleTimeout
 	}
 	b.held.forget(now)
+	b.heldPublisher.release(now)
 	for key, f := range b.flows {
 		if now.Sub(f.lastPacketAt) > timeout {
 			b.untrack(key, now)
--- a/entry/services/balancer/held_flow_test.go
+++ b/entry/services/balancer/held_flow_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -125,7 +126,7 @@
 	})
 }
 
-// Guards against exchanges for flows whose token is right, and against an exchange without a limit.
+// Guards against exchanges for flows whose token is right.
 func TestFewFlowsArePublished(t *testing.T) {
 	t.Parallel()
 	t.Run("flows with one opening packet", func(t *testing.T) {
@@ -151,17 +152,122 @@
 		require.Equal(t, []flowsharer.HeldFlow{{Source: caller, Destination: route, Token: c.flow.token, Acknowledged: c.flow.sequence + 1}}, c.entry.TakeHeldFlows())
 		require.Empty(t, c.entry.TakeHeldFlows())
 	})
-	t.Run("many flows at once", func(t *testing.T) {
+}
+
+// openAmbiguousFlows returns an entry behind a link with a rate in bytes per second, through which flows are open that
+// several backend servers may hold.
+func openAmbiguousFlows(t *testing.T, linkRate float64, count int) *balancer.Balancer {
+	t.Helper()
+	b := balancer.New(balancer.Settings{DataCentre: "a", MaxFlows: 10_000, LinkRate: linkRate}, nil)
+	b.Update(1, []director.Change{routeToOrders(), director.VersionChanged{Version: 1}, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady)}, true, start)
+	for i := range count {
+		sendOnAmbiguousFlow(b, i, start)
+	}
+	return b
+}
+
+// sendOnAmbiguousFlow sends packets of a flow with the tokens of two backend servers. The first one holds it.
+func sendOnAmbiguousFlow(b *balancer.Balancer, i int, now time.Time) {
+	for token := range director.Token(2) {
+		b.Decide(balancer.Packet{Source: callerAddress(i), Destination: route, Token: 1 + token, Acknowledged: 1}, now)
+	}
+}
+
+func requireTaken(t *testing.T, b *balancer.Balancer, sources ...int) {
+	t.Helper()
+	var taken []netip.AddrPort
+	for _, f := range b.TakeHeldFlows() {
+		require.Equal(t, director.Token(1), f.Token)
+		taken = append(taken, f.Source)
+	}
+	expected := make([]netip.AddrPort, 0, len(sources))
+	for _, i := range sources {
+		expected = append(expected, callerAddress(i))
+	}
+	require.ElementsMatch(t, expected, taken)
+}
+
+// Guards against an exchange that takes more of the links than the limits allow, and against flows beyond them that are
+// never published.
+func TestPublishedFlowsAreLimited(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		linkRate    float64
+		atOnce, per int
+	}{
+		"a link whose rate is not known": {0, 32, 2},
+		"a link of 2 Mbit/s":             {250e3, 32, 2},
+		"a link of 10 Mbit/s":            {1.25e6, 164, 10},
+		"a link of 1000 Mbit/s":          {125e6, 512, 32},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := openAmbiguousFlows(t, c.linkRate, 600)
+			require.Len(t, b.TakeHeldFlows(), c.atOnce)
+			require.Equal(t, 600-c.atOnce, b.HeldFlowsWaiting())
+			b.Sweep(start.Add(time.Second))
+			require.Len(t, b.TakeHeldFlows(), c.per)
+			b.Sweep(start.Add(time.Second))
+			require.Empty(t, b.TakeHeldFlows())
+			require.Zero(t, b.HeldFlowsLeftOut())
+		})
+	}
+	t.Run("the newest first", func(t *testing.T) {
 		t.Parallel()
-		b := balancer.New(balancer.Settings{DataCentre: "a", MaxFlows: 1000}, nil)
-		b.Update(1, []director.Change{routeToOrders(), director.VersionChanged{Version: 1}, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady)}, true, start)
-		for i := range 600 {
-			for token := range director.Token(2) {
-				p := balancer.Packet{Source: callerAddress(i), Destination: route, Token: 1 + token, Acknowledged: 1}
-				b.Decide(p, start)
-			}
-		}
-		require.Equal(t, 600, len(b.TakeHeldFlows())+b.HeldFlowsLeftOut())
-		require.Greater(t, b.HeldFlowsLeftOut(), 500)
+		b := openAmbiguousFlows(t, 0, 100)
+		b.TakeHeldFlows()
+		b.Sweep(start.Add(time.Second))
+		requireTaken(t, b, 99, 98)
+	})
+	t.Run("not those that have ended", func(t *testing.T) {
+		t.Parallel()
+		b := openAmbiguousFlows(t, 0, 100)
+		b.TakeHeldFlows()
+		b.Decide(balancer.Packet{Source: callerAddress(99), Destination: route, Token: 1, Acknowledged: 1, IsFinal: true}, start)
+		b.Decide(balancer.Packet{Source: callerAddress(98), Destination: route, Token: 1, Acknowledged: 1, IsReset: true}, start)
+		b.Sweep(start.Add(time.Second))
+		requireTaken(t, b, 97, 96)
 	})
+	t.Run("more than can wait", func(t *testing.T) {
+		t.Parallel()
+		b := openAmbiguousFlows(t, 0, 5000)
+		require.Equal(t, 5000, len(b.TakeHeldFlows())+b.HeldFlowsWaiting()+b.HeldFlowsLeftOut())
+		require.LessOrEqual(t, b.HeldFlowsWaiting(), 4096)
+	})
+}
+
+// Guards against a reset of open flows at a planned stop of their entry, if it carries more flows with a second answer
+// than it may publish at once.
+func TestStoppingEntryPublishesAllHeldFlows(t *testing.T) {
+	t.Parallel()
+	b := openAmbiguousFlows(t, 0, 600)
+	published := b.TakeHeldFlows()
+	b.LeaveRotation(start)
+	<-b.HeldFlowsAdded()
+	published = append(published, b.TakeHeldFlows()...)
+	sendOnAmbiguousFlow(b, 600, start)
+	published = append(published, b.TakeHeldFlows()...)
+	require.Len(t, published, 601)
+	require.Zero(t, b.HeldFlowsWaiting()+b.HeldFlowsLeftOut())
+	receiver := newBalancer(t, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady))
+	receiver.AddHeldFlows(published, start)
+	for i := range 601 {
+		v := receiver.Decide(balancer.Packet{Source: callerAddress(i), Destination: route, Token: 2, Acknowledged: 1, HasData: true}, start)
+		requireForwarded(t, v, 1)
+	}
+}
+
+// Guards against new flows of other entries that are not remembered because there are too many old ones, and against
+// memory that grows.
+func TestNewestHeldFlowsAreRemembered(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, serverChanged(1, director.StateReady), serverChanged(2, director.StateReady))
+	const count = 10_000
+	for i := range count {
+		b.AddHeldFlows([]flowsharer.HeldFlow{{Source: callerAddress(i), Destination: route, Token: 1, Acknowledged: 1}}, start.Add(time.Duration(i)))
+	}
+	for i, holder := range map[int]director.Token{0: 2, count - 8193: 2, count - 8192: 1, count - 1: 1} {
+		v := b.Decide(balancer.Packet{Source: callerAddress(i), Destination: route, Token: 2, Acknowledged: 1, HasData: true}, start)
+		requireForwarded(t, v, holder)
+	}
 }
--- a/entry/services/balancer/refused_copy_test.go
+++ b/entry/services/balancer/refused_copy_test.go
@@ -100,7 +100,7 @@
 		"a complete view": {sign: func(e *refusingEntry) {
 			e.Update(2, []director.Change{routeToOrders(), director.VersionChanged{Version: 1}, serverChanged(1, director.StateReady)}, true, e.now)
 		}},
-		"the entry leaves":        {sign: func(e *refusingEntry) { e.LeaveRotation() }},
+		"the entry leaves":        {sign: func(e *refusingEntry) { e.LeaveRotation(start) }},
 		"the entry is paused":     {sign: func(e *refusingEntry) { e.pass(firstRetransmission) }},
 		"the VM is suspended":     {sign: func(e *refusingEntry) { e.clock.Advance(firstRetransmission) }},
 		"the view is old":         {sign: func(e *refusingEntry) { e.run(800 * time.Millisecond) }},
--- a/shared/models/flowsharer/flow.go
+++ b/shared/models/flowsharer/flow.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// FlowSize is the largest size of an encoded flow in bytes.
+	FlowSize = 26
 	// MaxFlows is the maximum number of flows in a message, which take 7 KB. Links of entries may carry no more than
 	// 250 KB a second.
 	MaxFlows = 256
--- a/shared/models/flowsharer/flow_test.go
+++ b/shared/models/flowsharer/flow_test.go
@@ -27,7 +27,7 @@
 	require.Equal(t, sent, received)
 	flow, err := cbor.Marshal(newFlow())
 	require.NoError(t, err)
-	require.LessOrEqual(t, len(flow), 26)
+	require.LessOrEqual(t, len(flow), flowsharer.FlowSize)
 }
 
 // Guards against flows that no entry can have published.
