Let the number of voters follow changed settings

Two lost disks later every call to control gets 503, for good.

Cause: of changed settings only the seeds were taken over. The number of voters stayed that of the start, also when a replica was opened again.

Change: changed settings give the running replica the new limits, and the leader promotes or demotes replicas one at a time.

TestVoterLimitsChangeWhileRunning fails if the input is ignored.

--- a/control/services/driver/proposing.go
+++ b/control/services/driver/proposing.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// SetVoterLimits replaces the limits of the number of voters of the settings.
+func (d *Driver) SetVoterLimits(minVoters, maxVoters int) {
+	if !d.inputs.TryPush(replicator.SetVoterLimits{MinVoters: minVoters, MaxVoters: maxVoters}) {
+		d.options.Logger.Warn("limits of the number of voters not updated: the replica is busy or stopped", "min", minVoters, "max", maxVoters)
+	}
+}
+
 // ReadBarrier waits until everything committed before the call is applied; see replicator.Proposer.
 func (d *Driver) ReadBarrier(ctx context.Context) error {
 	err := d.submit(ctx, func(id uint64) replicator.Input { return replicator.Read{ID: id} }).err
--- a/control/services/replicator/event.go
+++ b/control/services/replicator/event.go
@@ -77,6 +77,13 @@
 	Peers []Peer
 }
 
+// SetVoterLimits replaces Settings.MinVoters and Settings.MaxVoters. The leader then promotes or demotes replicas, one at
+// a time.
+type SetVoterLimits struct {
+	sealedInput
+	MinVoters, MaxVoters int
+}
+
 // SnapshotTaken is the result of TakeSnapshot.
 type SnapshotTaken struct {
 	sealedInput
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -151,6 +151,8 @@
 		m.joinPolicy = in
 	case SetPeers:
 		m.settings.Peers = in.Peers
+	case SetVoterLimits:
+		m.settings.MinVoters, m.settings.MaxVoters = in.MinVoters, in.MaxVoters
 	case SnapshotTaken:
 		m.advanceClock(in.Now)
 		m.compact(in)
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -238,3 +238,41 @@
 		}
 	}
 }
+
+// Guards against two lost disks that end control for good after the settings have begun to allow for two: the number of
+// voters stayed that of the start.
+func TestVoterLimitsChangeWhileRunning(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		sim := newOpenMembershipSimulation(seed, 5)
+		require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+		sim.settings.Bootstrap = false
+		sim.setVoterLimits(5)
+		sim.run(3 * time.Second)
+		require.True(t, sim.hasConverged(), sim.describe())
+		index, lead := sim.commit(t)
+		wiped := []*node{lead, findNode(sim, true, nil)}
+		for _, n := range wiped {
+			sim.kill(n)
+			n.disk = nil
+		}
+		sim.changeSeeds()
+		sim.run(time.Second)
+		for _, n := range wiped {
+			sim.start(n)
+		}
+		sim.run(5 * time.Second)
+		sim.requireMajority(t, index)
+		sim.setVoterLimits(3)
+		sim.run(3 * time.Second)
+		require.True(t, sim.hasConverged(), sim.describe())
+	}
+}
+
+// setVoterLimits gives all replicas, and those that start later, another number of voters.
+func (sim *simulation) setVoterLimits(voters int) {
+	sim.settings.MinVoters, sim.settings.MaxVoters = voters, voters
+	for _, n := range sim.running() {
+		sim.step(n, SetVoterLimits{MinVoters: voters, MaxVoters: voters})
+	}
+}
--- a/control/services/supervisor/supervisor.go
+++ b/control/services/supervisor/supervisor.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// SetVoterLimits replaces the limits of the number of voters. A replica that is opened later has those of
+// Options.Replication.
+func (s *Supervisor) SetVoterLimits(minVoters, maxVoters int) {
+	if replica := s.current(); replica != nil {
+		replica.SetVoterLimits(minVoters, maxVoters)
+	}
+}
+
 // ensureRunning closes a failed replica and opens one if none runs.
 func (s *Supervisor) ensureRunning() {
 	replica := s.current()
