Acknowledge the drain of a backend server whose service was dropped

When they announce that they drain, every replica answers 400, and they end without an acknowledgement, with open flows.

Cause: the leader refused announcements of a service that the newest declaration does not name before it looked whether the start is recorded.

Change: only the first announcement of a start is refused for its service.

The new case of TestAnnounceAtAnyReplica fails on the code before.

--- a/control/services/director/announcement.go
+++ b/control/services/director/announcement.go
@@ -100,6 +100,14 @@
 	return m.checkSequence(known, a) == nil && known.State == m.stateAfter(known, a) && known.IsCold() == a.Server.IsCold()
 }
 
+// HasStart reports whether the start that a backend server describes is recorded.
+func (m *Machine) HasStart(server director.Server) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, ok := m.findStart(server)
+	return ok
+}
+
 // IsKnown returns the token of the recorded start, and whether an announcement would leave the state
 // unchanged, so that renewing the lease is enough.
 func (m *Machine) IsKnown(a Announcement) (director.Token, bool) {
--- a/control/services/director/errors.go
+++ b/control/services/director/errors.go
@@ -60,7 +60,7 @@
 	return errors.As(err, &target)
 }
 
-// ErrServiceNotExist reports an announcement for a service that is not declared.
+// ErrServiceNotExist reports the first announcement of a start for a service that is not declared.
 type ErrServiceNotExist struct {
 	Service string
 	// Version is the version of the current declaration; 0 if there is none.
--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -37,7 +37,7 @@
 	Position int
 	// Reason is set for an announcement that is out of date.
 	Reason string
-	// Service is not in the declaration with Version. Both are set if Reason is empty.
+	// Service is not in the declaration with Version, and the start is not recorded. Both are set if Reason is empty.
 	Service string
 	Version uint64
 }
@@ -110,7 +110,8 @@
 	var command Announce
 	var positions []int
 	for i, a := range announcements {
-		if declared := s.machine.Declared(); !declared.HasService(a.Server.Service) {
+		// A start that is recorded may go on, and drain, after a declaration has dropped its service.
+		if declared := s.machine.Declared(); !declared.HasService(a.Server.Service) && !s.machine.HasStart(a.Server) {
 			result.Refusals = append(result.Refusals, Refusal{Position: i, Service: a.Server.Service, Version: declared.Version})
 		} else if token, ok := s.machine.IsKnown(a); ok {
 			s.renewLeases([]director.Token{token})
--- a/control/services/director/registration_test.go
+++ b/control/services/director/registration_test.go
@@ -108,6 +108,18 @@
 		require.True(t, IsErrServiceNotExist(p.follower.Announce(t.Context(), unknownService)))
 		p.requireState(1, director.StateDraining)
 	})
+	t.Run("a backend server of a dropped service drains, and no other one starts", func(t *testing.T) {
+		t.Parallel()
+		p := newPair(t)
+		require.NoError(t, p.announceAtFollower("h1", addressA, 100, 1, false))
+		dropped := declaration(2).Declaration
+		dropped.Services, dropped.Routes = nil, nil
+		require.NoError(t, p.service.Declare(t.Context(), dropped))
+		require.NoError(t, p.announceAtFollower("h1", addressA, 100, 2, true))
+		p.requireState(1, director.StateDraining)
+		require.True(t, IsErrServiceNotExist(p.announceAtFollower("h2", addressB, 100, 1, false)))
+		require.True(t, IsErrServiceNotExist(p.announceAtFollower("h1", addressA, 200, 1, false)))
+	})
 	t.Run("entries are enlisted", func(t *testing.T) {
 		t.Parallel()
 		p := newPair(t)
