Bound the history of control by its changes

Cause: the history for entries that catch up was bounded at 4,096 commands. A command that changes 1,271 routes counted as one, so that answers exceeded what the decoder accepts, and the history 280 MB.

Change: the bound is 4,096 changes. An entry that lacks older ones gets the whole view, which has no more changes than there are objects.

--- a/control/services/director/machine.go
+++ b/control/services/director/machine.go
@@ -12,10 +12,10 @@
 	"github.com/redwingledge/redwingledge/shared/models/director"
 )
 
-// maxHistory is the number of change sets kept for entries that catch up without a
+// maxHistoryChanges is the number of changes kept for entries that catch up without a
 // full copy of the state. It covers about 15 min at the design size, where 3,900
-// backend servers change 5 times an hour.
-const maxHistory = 4096
+// backend servers change 5 times an hour. A declaration may change a thousand routes.
+const maxHistoryChanges = 4096
 
 // changeSet holds the changes that one command made.
 type changeSet struct {
@@ -33,6 +33,8 @@
 	starts    startIndex
 	marks     map[director.Token]marks
 	history   []changeSet
+	// historyChanges is the number of changes in history.
+	historyChanges int
 	// compactedIndex is the highest index whose changes history may lack; later ones
 	// are complete.
 	compactedIndex uint64
@@ -67,18 +69,26 @@
 	}
 	err = m.apply(command)
 	if len(m.pending) > 0 {
-		m.history = append(m.history, changeSet{index: index, changes: m.pending})
+		m.recordHistory(changeSet{index: index, changes: m.pending})
 		m.pending = nil
-		if len(m.history) > maxHistory {
-			m.compactedIndex = m.history[0].index
-			m.history = slices.Delete(m.history, 0, 1)
-		}
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
 	return nil, err
 }
 
+// recordHistory adds a change set to the history and removes the oldest ones if there are too many changes.
+func (m *Machine) recordHistory(set changeSet) {
+	m.history = append(m.history, set)
+	m.historyChanges += len(set.changes)
+	count := 0
+	for ; m.historyChanges > maxHistoryChanges; count++ {
+		m.historyChanges -= len(m.history[count].changes)
+		m.compactedIndex = m.history[count].index
+	}
+	m.history = slices.Delete(m.history, 0, count)
+}
+
 // applyChange applies one change to the directory and adds it to the pending changes.
 func (m *Machine) applyChange(change director.Change) {
 	switch c := change.(type) {
@@ -291,7 +301,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.index, m.nextToken, m.declared, m.directory, m.starts, m.marks = s.Index, s.NextToken, s.Declared, directory, starts, s.storedMarks()
-	m.history, m.compactedIndex = nil, s.Index
+	m.history, m.historyChanges, m.compactedIndex = nil, 0, s.Index
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
