Create the cluster without a seed that was lost before

Control answers 503 for good, although four control VMs run.

Cause: the first seed creates the cluster only once all seeds have answered that they belong to none. The replacement of the lost one is no seed.

Change: after 2 s a majority of the seeds is sufficient, where the platform reports a first start only with empty disks. Only the first seed creates a cluster, so there is no second one.

TestClusterIsCreatedWithoutLostSeed fails with the setting at 0.

--- a/control/services/replicator/joining.go
+++ b/control/services/replicator/joining.go
@@ -93,17 +93,26 @@
 	return slices.ContainsFunc(m.settings.Peers, func(p Peer) bool { return p.Address == address })
 }
 
+// hasBootstrapAnswers reports whether enough peers have answered that they belong to no cluster.
+func (m *Machine) hasBootstrapAnswers() bool {
+	answered := 1
+	for _, peer := range m.settings.Peers[1:] {
+		if m.joinState.unbootstrapped[peer.Name] {
+			answered++
+		}
+	}
+	// A peer may be lost before the cluster exists, and its replacement can only join one.
+	after := m.settings.BootstrapMajorityAfter
+	isMajority := after > 0 && m.now.Sub(m.started) >= after && answered >= m.majority(len(m.settings.Peers))
+	return isMajority || answered == len(m.settings.Peers)
+}
+
 // bootstrapIfReady creates a cluster with this replica as the only voter if no peer belongs to a
 // cluster. The peers join it afterwards.
 func (m *Machine) bootstrapIfReady() {
-	if !m.settings.Bootstrap || !m.isUnbootstrapped() || m.settings.Peers[0].Name != m.settings.Name {
+	if !m.settings.Bootstrap || !m.isUnbootstrapped() || m.settings.Peers[0].Name != m.settings.Name || !m.hasBootstrapAnswers() {
 		return
 	}
-	for _, peer := range m.settings.Peers[1:] {
-		if !m.joinState.unbootstrapped[peer.Name] {
-			return
-		}
-	}
 	var cluster storer.Identity
 	binary.LittleEndian.PutUint64(cluster[:8], m.rng.Uint64())
 	binary.LittleEndian.PutUint64(cluster[8:], m.rng.Uint64())
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -276,3 +276,36 @@
 		sim.step(n, SetVoterLimits{MinVoters: voters, MaxVoters: voters})
 	}
 }
+
+// Guards against a cluster that is never created because a seed is lost before, and its replacement can only join one.
+// The first seed creates it and must not be alone.
+func TestClusterIsCreatedWithoutLostSeed(t *testing.T) {
+	t.Parallel()
+	for name, lost := range map[string]int{"one of three": 1, "two of three": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(20) {
+				sim := newOpenMembershipSimulation(seed, 4)
+				sim.settings.BootstrapMajorityAfter = 2 * time.Second
+				for _, n := range sim.nodes {
+					n.machine, n.disk = nil, nil
+				}
+				sim.queue = nil
+				sim.nodes = slices.Delete(sim.nodes, 3-lost, 3)
+				for _, n := range sim.nodes {
+					sim.start(n)
+				}
+				sim.run(time.Second)
+				require.Nil(t, sim.leader(), "the other seeds may be late")
+				sim.settings.Bootstrap = false
+				sim.startReplacement()
+				sim.run(4 * time.Second)
+				if lost > 1 {
+					require.Nil(t, sim.leader(), sim.describe())
+					continue
+				}
+				require.True(t, sim.waitForConvergence(5*time.Second), sim.describe())
+			}
+		})
+	}
+}
--- a/control/services/replicator/settings.go
+++ b/control/services/replicator/settings.go
@@ -18,9 +18,13 @@
 	Address netip.AddrPort
 	// Peers are all replicas that the settings list, including this one.
 	Peers []Peer
-	// Bootstrap allows this replica to create a cluster if it is the first of Peers and none of
-	// Peers belongs to a cluster yet.
+	// Bootstrap allows this replica to create a cluster if it is the first of Peers and all of them
+	// answer that they belong to no cluster yet.
 	Bootstrap bool
+	// BootstrapMajorityAfter is the time since the start after which a majority of Peers is sufficient
+	// to create a cluster. 0 means that all must answer. It requires that Bootstrap is set only if no
+	// replica has been started before.
+	BootstrapMajorityAfter time.Duration
 	// Heartbeat is the interval between the leader's heartbeats.
 	Heartbeat time.Duration
 	// ElectionTimeout is the shortest time without contact to the leader before an election. A
