--- a/control/services/director/history_test.go
+++ b/control/services/director/history_test.go
@@ -50,7 +50,7 @@
 	}
 	declareRoutes(l, count, 3, 4, 5, 6)
 	requireCaughtUp(false)
-	for version := uint64(7); version < 200; version++ {
+	for version := uint64(7); version < 20; version++ {
 		declareRoutes(l, count, version)
 	}
 	requireCaughtUp(true)
@@ -59,8 +59,8 @@
 		total += len(set.changes)
 	}
 	require.LessOrEqual(t, total, maxHistoryChanges)
-	declareRoutes(l, maxHistoryChanges+1, 200)
+	declareRoutes(l, maxHistoryChanges+1, 20)
 	requireCaughtUp(true)
-	declareRoutes(l, 10, 201)
+	declareRoutes(l, 10, 21)
 	requireCaughtUp(true)
 }
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -10,15 +10,16 @@
 	if m.isOnlyVoter() {
 		return
 	}
-	if m.role == RoleLeader && !m.isResigning() {
-		m.counts.LeadershipTransfers++
-	}
+	isRepeated := m.isResigning()
 	m.resignUntil = m.now.Add(m.settings.ElectionTimeout)
-	if m.role == RoleLeader {
-		m.transferLeadership()
-	} else {
+	if m.role != RoleLeader {
 		m.requestLeave()
+		return
+	}
+	if !isRepeated {
+		m.counts.LeadershipTransfers++
 	}
+	m.transferLeadership()
 }
 
 func (m *Machine) isResigning() bool { return m.now.Before(m.resignUntil) }
