Drop flows that ended while they waited to be published

Cause: flows that had ended stayed in the queue until they were its newest, and held_flows_waiting and held_flows_left_out counted them. Change: they are dropped before flows are made ready or left out. Figures: TestPublishedFlowsAreLimited and the tests of held flows pass.

--- a/entry/services/balancer/held_flow_publisher.go
+++ b/entry/services/balancer/held_flow_publisher.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -52,6 +53,9 @@
 // publish hands on the backend server that holds a flow of this entry as soon as the limits allow it.
 func (h *heldFlowPublisher) publish(key flowKey, f *flow, now time.Time) {
 	h.waiting = append(h.waiting, waitingFlow{key: key, flow: f})
+	if len(h.waiting)+len(h.ready) > maxWaitingFlows {
+		h.dropEnded()
+	}
 	if excess := len(h.waiting) + len(h.ready) - maxWaitingFlows; excess > 0 {
 		excess = min(excess, len(h.waiting))
 		h.waiting = h.waiting[excess:]
@@ -60,24 +64,26 @@
 	h.release(now)
 }
 
-// release makes flows ready that have waited, as far as the limits allow it. Flows that have ended need no holder.
+// dropEnded removes the flows that have ended while they waited, as they need no holder.
+func (h *heldFlowPublisher) dropEnded() {
+	h.waiting = slices.DeleteFunc(h.waiting, func(w waitingFlow) bool { return w.flow.isClosed || w.flow.isForgotten })
+}
+
+// release makes flows ready that have waited, as far as the limits allow it.
 func (h *heldFlowPublisher) release(now time.Time) {
-	isReady := false
-	for len(h.waiting) > 0 {
+	if len(h.waiting) == 0 || !h.isLeaving && h.limiter.TokensAt(now) < 1 {
+		return
+	}
+	h.dropEnded()
+	for len(h.waiting) > 0 && (h.isLeaving || h.limiter.AllowN(now, 1)) {
 		last := len(h.waiting) - 1
 		next := h.waiting[last]
-		if !next.flow.isClosed && !next.flow.isForgotten {
-			if !h.isLeaving && !h.limiter.AllowN(now, 1) {
-				break
-			}
-			h.ready = append(h.ready, flowsharer.HeldFlow{
-				Source: next.key.source, Destination: next.key.destination, Token: next.flow.token, Acknowledged: next.flow.acknowledged,
-			})
-			isReady = true
-		}
 		h.waiting = h.waiting[:last]
+		h.ready = append(h.ready, flowsharer.HeldFlow{
+			Source: next.key.source, Destination: next.key.destination, Token: next.flow.token, Acknowledged: next.flow.acknowledged,
+		})
 	}
-	if !isReady {
+	if len(h.ready) == 0 {
 		return
 	}
 	select {
