Reserve the addresses of tests across tests and processes

The tests of the driver and of the communicator drew a port of 15,000 to 24,999, bound it, closed it, and bound it again once their server started. Meanwhile another cluster, of the same test process or of another one, could draw the same port; a run of the driver's tests holds about 80 of them at a time. The demonstration keeps a list of its ports across processes, but draws from the same range, and checked a port before it looked at the list. The supervisor's tests, and two tests that start a server again, used ephemeral ports, which any outgoing connection may take.

Change: the demonstration's list moves to shared/modules/reserver, and all these tests use it.

TestPeersHaveOwnAddresses fails before ("127.0.0.1:21039 is used twice").

--- a/control/routers/exchanger/exchanger_test.go
+++ b/control/routers/exchanger/exchanger_test.go
@@ -23,6 +23,7 @@
 	"github.com/redwingledge/redwingledge/shared/models/loadsharer"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -106,7 +107,7 @@
 	go func() { _ = earlier.Serve() }()
 	defer earlier.Stop()
 	others := []netip.AddrPort{netip.MustParseAddrPort(silent.Addr().String()), netip.MustParseAddrPort(earlier.Addr())}
-	a, b := startReplica(t, "127.0.0.1:0", others...), startReplica(t, "127.0.0.1:0")
+	a, b := startReplica(t, "127.0.0.1:0", others...), startReplica(t, reservertest.Address(t).String())
 	requireShared(t, 1, map[string]*replica{"entry-1": a})
 	requireShared(t, 1, map[string]*replica{"entry-2": b})
 
--- a/control/routers/flowexchanger/flowexchanger_test.go
+++ b/control/routers/flowexchanger/flowexchanger_test.go
@@ -19,6 +19,7 @@
 	"github.com/redwingledge/redwingledge/shared/models/flowsharer"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -70,7 +71,7 @@
 	t.Parallel()
 	m := new(members)
 	m.Store(&[]netip.AddrPort{})
-	a, b := startReplica(t, "127.0.0.1:0", 1, m), startReplica(t, "127.0.0.1:0", 2, m)
+	a, b := startReplica(t, "127.0.0.1:0", 1, m), startReplica(t, reservertest.Address(t).String(), 2, m)
 	m.Store(&[]netip.AddrPort{a.options.Address, b.options.Address})
 	go a.Run(t.Context())
 	go b.Run(t.Context())
--- a/control/services/driver/cluster_test.go
+++ b/control/services/driver/cluster_test.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +13,7 @@
 	"github.com/redwingledge/redwingledge/control/services/replicator"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -115,26 +113,11 @@
 	return r
 }
 
-// listenBelowEphemeralPorts binds a free port below the ephemeral ports that the kernel assigns
-// to connections of other tests, so that it is still free when a replica binds it.
-func listenBelowEphemeralPorts(t testing.TB) net.Listener {
-	t.Helper()
-	for range 100 {
-		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15_000+rand.IntN(10_000))); err == nil {
-			return listener
-		}
-	}
-	require.FailNow(t, "no port is free")
-	return nil
-}
-
 func newPeers(t testing.TB, n int) []replicator.Peer {
 	t.Helper()
 	peers := make([]replicator.Peer, n)
-	for i := range peers {
-		listener := listenBelowEphemeralPorts(t)
-		peers[i] = replicator.Peer{Name: fmt.Sprint("r", i), Address: netip.MustParseAddrPort(listener.Addr().String())}
-		defer func() { _ = listener.Close() }()
+	for i, address := range reservertest.Addresses(t, n) {
+		peers[i] = replicator.Peer{Name: fmt.Sprint("r", i), Address: address}
 	}
 	return peers
 }
--- a/control/services/driver/driver_test.go
+++ b/control/services/driver/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -187,3 +188,15 @@
 		return at >= 0 && replicas[at].Status().Membership.IsVoter(stopping)
 	}, 3*election, 10*time.Millisecond)
 }
+
+// Guards against clusters of different tests that get the same address: the later one could not listen there.
+func TestPeersHaveOwnAddresses(t *testing.T) {
+	t.Parallel()
+	seen := make(map[netip.AddrPort]bool)
+	for range 100 {
+		for _, peer := range newPeers(t, 3) {
+			require.False(t, seen[peer.Address], "%s is used twice", peer.Address)
+			seen[peer.Address] = true
+		}
+	}
+}
--- a/control/services/supervisor/supervisor_test.go
+++ b/control/services/supervisor/supervisor_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,7 @@
 	"github.com/redwingledge/redwingledge/control/services/supervisor"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -74,12 +73,8 @@
 func startGroup(t *testing.T, snapshotEntries int, maxSizes [3]int64) []*member {
 	t.Helper()
 	var peers []replicator.Peer
-	var listeners []net.Listener
-	for i := range maxSizes {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		listeners = append(listeners, listener)
-		peers = append(peers, replicator.Peer{Name: fmt.Sprint("r", i), Address: netip.MustParseAddrPort(listener.Addr().String())})
+	for i, address := range reservertest.Addresses(t, len(maxSizes)) {
+		peers = append(peers, replicator.Peer{Name: fmt.Sprint("r", i), Address: address})
 	}
 	members := make([]*member, len(peers))
 	for i, peer := range peers {
@@ -96,7 +91,6 @@
 			Storage: func() storer.Settings { return storer.Settings{Folder: folder, MaxSize: m.maxSize.Load()} },
 			Applier: m.applier, Timer: timer.NewSystem(), Counters: m.counters, Logger: log.Discard(),
 		})
-		require.NoError(t, listeners[i].Close())
 		server, err := transporter.Listen(peer.Address, nil, m.Service())
 		require.NoError(t, err)
 		go func() { _ = server.Serve() }()
--- a/demo/services/demonstrator/control.go
+++ b/demo/services/demonstrator/control.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/demo/services/starter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver"
 )
 
 // controlName is the name of the only control replica.
@@ -23,7 +24,7 @@
 
 // startControl runs a single control replica.
 func (s *System) startControl(ctx context.Context) error {
-	addresses, err := starter.FreeAddresses(3)
+	addresses, err := reserver.Addresses(3)
 	if err != nil {
 		return err
 	}
--- a/demo/services/demonstrator/system.go
+++ b/demo/services/demonstrator/system.go
@@ -23,6 +23,7 @@
 	"github.com/redwingledge/redwingledge/demo/services/starter"
 	"github.com/redwingledge/redwingledge/demo/services/worker"
 	"github.com/redwingledge/redwingledge/shared/models/announcer"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/services/advertiser"
 )
@@ -297,13 +298,13 @@
 
 func (s *System) chooseAddresses() error {
 	for i := range declaredEntries {
-		free, err := starter.FreeAddresses(4)
+		free, err := reserver.Addresses(4)
 		if err != nil {
 			return err
 		}
 		s.addresses[entryName(i)] = entryAddresses{admin: free[0], packets: free[1], announce: free[2], grpc: free[3]}
 	}
-	free, err := starter.FreeAddresses(3)
+	free, err := reserver.Addresses(3)
 	if err != nil {
 		return err
 	}
--- a/demo/services/injector/cluster.go
+++ b/demo/services/injector/cluster.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/redwingledge/redwingledge/demo/services/starter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver"
 )
 
 const (
@@ -88,7 +89,7 @@
 	var relay *Relay
 	for attempt := 1; relay == nil; attempt++ {
 		var err error
-		if free, err = starter.FreeAddresses(4); err != nil {
+		if free, err = reserver.Addresses(4); err != nil {
 			return nil, err
 		}
 		// Another process may bind the address after it was found to be free.
--- a/demo/services/starter/starter.go
+++ b/demo/services/starter/starter.go
@@ -7,15 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -152,72 +149,3 @@
 }
 
 func (p *Process) closeLog() { p.closeLogOnce.Do(func() { _ = p.log.Close() }) }
-
-// Ports are chosen below the ephemeral port range of Linux, so that no outgoing connection
-// takes a port before its process binds it.
-const (
-	firstPort = 15_000
-	lastPort  = 32_000
-)
-
-// reservations are sockets on 127.0.0.2 that mark the ports returned by this process, so that
-// concurrent test processes never return the same port. They are closed when the process ends.
-var (
-	reservationsMu sync.Mutex
-	reservations   []*net.UDPConn
-)
-
-// reserve marks the port as returned. It reports false if the port is already marked.
-func reserve(port uint16) bool {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 2}), port)
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return false
-	}
-	reservationsMu.Lock()
-	defer reservationsMu.Unlock()
-	reservations = append(reservations, conn)
-	return true
-}
-
-// FreeAddresses returns loopback addresses whose TCP and UDP ports were free when checked. No
-// two calls return the same address, even in different processes.
-func FreeAddresses(count int) ([]netip.AddrPort, error) {
-	addresses := make([]netip.AddrPort, 0, count)
-	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := netip.AddrPortFrom(loopback, uint16(port))
-		if !isAvailable(address) || !reserve(uint16(port)) {
-			continue
-		}
-		addresses = append(addresses, address)
-		if len(addresses) == count {
-			return addresses, nil
-		}
-	}
-	return nil, fmt.Errorf("only %d of %d ports are free between %d and %d", len(addresses), count, firstPort, lastPort)
-}
-
-// nextPort starts at a random offset, so that two test runs on one machine rarely try the same
-// ports.
-var nextPort = newPortCounter()
-
-func newPortCounter() *atomic.Uint32 {
-	counter := new(atomic.Uint32)
-	counter.Store(rand.Uint32N(lastPort - firstPort))
-	return counter
-}
-
-func isAvailable(address netip.AddrPort) bool {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return false
-	}
-	packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		_ = listener.Close()
-		return false
-	}
-	return errors.Join(listener.Close(), packets.Close()) == nil
-}
--- a/entry/routers/communicator/authorize_test.go
+++ b/entry/routers/communicator/authorize_test.go
@@ -15,6 +15,7 @@
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -24,7 +25,7 @@
 func TestOnlyEntriesDeliver(t *testing.T) {
 	t.Parallel()
 	issuer := newAuthority(t)
-	addr := freeAddress(t)
+	addr := reservertest.Address(t)
 	control, current := startControl(t, issuer.config(t, "control-0"))
 	service := communicator.New(communicator.Options{
 		Name: "entry-0", DataCentre: "dc-0", Region: "north", Control: []netip.AddrPort{control}, TLS: issuer.config(t, "entry-0"), Timer: timer.NewSystem(),
--- a/entry/routers/communicator/communicator_test.go
+++ b/entry/routers/communicator/communicator_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -19,25 +17,11 @@
 	"github.com/redwingledge/redwingledge/shared/models/cataloger"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
 
-// freeAddress returns a loopback address whose port was free a moment ago. The port is
-// below the range from which the kernel assigns ports to connections of other tests.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15_000+rand.IntN(10_000)))
-		if err == nil {
-			require.NoError(t, l.Close())
-			return netip.MustParseAddrPort(l.Addr().String())
-		}
-	}
-	require.FailNow(t, "no port is free")
-	return netip.AddrPort{}
-}
-
 func serve(t *testing.T, addr netip.AddrPort, config *tls.Config, service *transporter.Service) {
 	t.Helper()
 	server, err := transporter.Listen(addr, config, service)
@@ -63,14 +47,14 @@
 		}
 		return &cataloger.FetchResponse{}, nil
 	})
-	addr := freeAddress(t)
+	addr := reservertest.Address(t)
 	serve(t, addr, config, service)
 	return addr, &current
 }
 
 func startEntry(t *testing.T, i int, seeds, control []netip.AddrPort) (*communicator.Service, netip.AddrPort) {
 	t.Helper()
-	addr := freeAddress(t)
+	addr := reservertest.Address(t)
 	service := communicator.New(communicator.Options{
 		Name: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%2), Region: "north", PacketAddress: addr,
 		Seeds: seeds, Control: control, Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(), Seed: uint64(i),
--- a/entry/routers/communicator/overhead_test.go
+++ b/entry/routers/communicator/overhead_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/redwingledge/redwingledge/entry/models/messenger"
 	"github.com/redwingledge/redwingledge/entry/services/gossiper"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
 
@@ -63,7 +64,7 @@
 		return &messenger.DeliverResponse{}, nil
 	})
 	config := newAuthority(t).config(t, "entry-001")
-	target := freeAddress(t)
+	target := reservertest.Address(t)
 	serve(t, target, config, service)
 	proxy, bytes := countBytes(t, target)
 	pool := transporter.NewPool(config)
--- a/entry/routers/communicator/restart_test.go
+++ b/entry/routers/communicator/restart_test.go
@@ -11,6 +11,7 @@
 	"github.com/redwingledge/redwingledge/entry/routers/communicator"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
 	"github.com/redwingledge/redwingledge/shared/modules/transporter"
 )
@@ -36,7 +37,7 @@
 // from joining, and against a failure that is not detected over gRPC.
 func TestRestartedProcessRejoins(t *testing.T) {
 	t.Parallel()
-	seeds := []netip.AddrPort{freeAddress(t), freeAddress(t), freeAddress(t)}
+	seeds := reservertest.Addresses(t, 3)
 	var entries []*communicator.Service
 	for i := range 2 {
 		entry, kill := startProcess(t, i, seeds[i], seeds)
--- a/gateway/routers/gateway_test.go
+++ b/gateway/routers/gateway_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingledge/redwingledge/gateway/models/recorder"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 )
 
 // Guards against a resend that runs the request again, through the same gateway or
@@ -122,12 +121,9 @@
 func TestUnreachableBackendIsNotRun(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 1, newBackend(t))
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, closed.Close())
 	view := c.view
 	view.Backends = slices.Clone(view.Backends)
-	view.Backends[0].Address = netip.MustParseAddrPort(closed.Addr().String())
+	view.Backends[0].Address = reservertest.Address(t)
 	view.Backends[0].Incarnation++
 	c.source.set(view)
 	require.Eventually(t, func() bool {
--- a/demo/services/starter/starter_test.go
+++ b/shared/modules/reserver/reserver_test.go
@@ -1,4 +1,4 @@
-package starter_test
+package reserver_test
 
 import (
 	"net"
@@ -6,16 +6,16 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/redwingledge/redwingledge/demo/services/starter"
+	"github.com/redwingledge/redwingledge/shared/modules/reserver"
 )
 
 // Guards against two processes that get the same port. A test failed because the second process
 // reported "address already in use".
-func TestFreeAddressesAreReserved(t *testing.T) {
+func TestAddressesAreReserved(t *testing.T) {
 	t.Parallel()
 	seen := make(map[string]bool)
 	for range 20 {
-		addresses, err := starter.FreeAddresses(5)
+		addresses, err := reserver.Addresses(5)
 		require.NoError(t, err)
 		for _, address := range addresses {
 			require.False(t, seen[address.String()], "%s was returned twice", address)
