Poll in the test's goroutine that a stopping replica does not vote

Cause: in 1 of 18 runs of the driver's tests (-race, six processes at a time) the race detector reported TestStoppingReplicaDoesNotVoteAgain: require.Never runs its condition in a goroutine and returns at its deadline without waiting for it, so the condition read the replicas while the clean-up of the test stopped them.

Change: the test polls in its own goroutine, for the same time, at the same interval and with the same condition. The other two uses of require.Never read only a context and the length of a channel.

--- a/control/services/driver/driver_test.go
+++ b/control/services/driver/driver_test.go
@@ -183,10 +183,12 @@
 	require.NoError(t, ctx.Err())
 	followers[1].stop()
 	stopping := followers[0].Status().ID
-	require.Never(t, func() bool {
-		at := leaderOf(replicas)
-		return at >= 0 && replicas[at].Status().Membership.IsVoter(stopping)
-	}, 3*election, 10*time.Millisecond)
+	// This goroutine polls, as require.Never returns while another one may still read the replicas.
+	for end := time.Now().Add(3 * election); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if at := leaderOf(replicas); at >= 0 {
+			require.False(t, replicas[at].Status().Membership.IsVoter(stopping))
+		}
+	}
 }
 
 // Guards against clusters of different tests that get the same address: the later one could not listen there.
