Send all queued small messages of a replica in one call

What was seen: TestSlowDiskKeepsLeader failed beside load, also without a slow disk: the leader stepped down, and the caller learnt that its change "may or may not be committed".

Cause: a call to another replica took up to 3 messages, and calls follow one another. While they take long, more heartbeats are queued than sent, and the answers that count a majority come ever later, until they are too late.

Change: a call takes all queued messages up to MaxAppendBytes, and a larger message goes alone. Before, three messages of that size went together, so a slow link now has to transmit less before a call times out.

Figures: 100 queued heartbeats took 34 calls and take 2 (TestSmallMessagesShareCalls, which fails with 3 messages a call).

--- a/control/services/driver/delivering.go
+++ b/control/services/driver/delivering.go
@@ -106,24 +106,49 @@
 	defer d.wg.Done()
 	batch := make([]replicator.Envelope, sendBatch)
 	for {
-		n := ring.PopBatch(batch)
-		if n == 0 || d.ctx.Err() != nil {
+		queued := batch[:ring.PopBatch(batch)]
+		if len(queued) == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(d.ctx, d.options.Settings.ElectionTimeout/sendTimeoutDivisor)
-		_, err := transporter.Call[DeliverRequest, DeliverResponse](ctx, d.pool, address, deliverMethod, &DeliverRequest{Envelopes: slices.Clone(batch[:n])})
-		cancel()
-		if err != nil {
-			d.metrics.sendErrors.Add(1)
-			// An established connection may stay dead while new ones work, and gRPC
-			// waits up to two minutes before it reconnects by itself.
-			d.pool.Disconnect(address)
-			continue
+		for len(queued) > 0 {
+			if d.ctx.Err() != nil {
+				return
+			}
+			n := countForCall(queued, d.options.Settings.MaxAppendBytes)
+			d.callDeliver(address, queued[:n])
+			queued = queued[n:]
 		}
-		d.metrics.messagesSent.Add(int64(n))
 	}
 }
 
+// countForCall returns how many of the first messages go into one call: as many as take at most maxBytes, and at least
+// one. Each small message, such as a heartbeat, would otherwise wait for calls with those before it, and where calls take
+// long they would come ever later. Large messages go alone, as a slow link must transmit a call before it times out.
+func countForCall(messages []replicator.Envelope, maxBytes int) int {
+	size := 0
+	for i, message := range messages {
+		if size += message.Size(); size > maxBytes {
+			return max(i, 1)
+		}
+	}
+	return len(messages)
+}
+
+// callDeliver sends messages in one call. If it fails they are lost.
+func (d *Driver) callDeliver(address netip.AddrPort, messages []replicator.Envelope) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.options.Settings.ElectionTimeout/sendTimeoutDivisor)
+	defer cancel()
+	request := &DeliverRequest{Envelopes: slices.Clone(messages)}
+	if _, err := transporter.Call[DeliverRequest, DeliverResponse](ctx, d.pool, address, deliverMethod, request); err != nil {
+		d.metrics.sendErrors.Add(1)
+		// An established connection may stay dead while new ones work, and gRPC
+		// waits up to two minutes before it reconnects by itself.
+		d.pool.Disconnect(address)
+		return
+	}
+	d.metrics.messagesSent.Add(int64(len(messages)))
+}
+
 func (d *Driver) closeSenders() {
 	for _, ring := range d.senders {
 		ring.Close()
--- a/control/services/driver/delivering_test.go
+++ b/control/services/driver/delivering_test.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -9,6 +10,8 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"net"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
+	"github.com/redwingledge/redwingledge/control/services/replicator"
+	"github.com/redwingledge/redwingledge/shared/modules/buffer"
 	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -53,6 +58,56 @@
 	}
 }
 
+// Guards against heartbeats that come ever later while calls take long, because each call took only a few of them.
+func TestSmallMessagesShareCalls(t *testing.T) {
+	t.Parallel()
+	const messages = 100
+	var received, calls atomic.Int64
+	server, err := transporter.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, NewService(func(_ context.Context, delivery *DeliverRequest) (*DeliverResponse, error) {
+		time.Sleep(50 * time.Millisecond)
+		calls.Add(1)
+		received.Add(int64(len(delivery.Envelopes)))
+		return &DeliverResponse{}, nil
+	}))
+	require.NoError(t, err)
+	go func() { _ = server.Serve() }()
+	t.Cleanup(server.Stop)
+	r := start(t, settingsOf(newPeers(t, 1), 0), storer.Settings{Folder: t.TempDir()})
+	ring := buffer.NewRing[replicator.Envelope](messages)
+	for range messages {
+		require.True(t, ring.TryPush(replicator.Envelope{Message: &replicator.AppendRequest{}}))
+	}
+	r.wg.Add(1)
+	go r.runSender(netip.MustParseAddrPort(server.Addr()), ring)
+	require.Eventually(t, func() bool { return received.Load() == messages }, 10*time.Second, time.Millisecond)
+	ring.Close()
+	require.LessOrEqual(t, calls.Load(), int64(2))
+}
+
+// Guards against calls that a slow link does not transmit before they time out, and against messages larger than the
+// limit that are never sent.
+func TestLargeMessagesHaveOwnCalls(t *testing.T) {
+	t.Parallel()
+	const maxBytes = 64 << 10
+	heartbeat := replicator.Envelope{Message: &replicator.AppendRequest{}}
+	large := replicator.Envelope{Message: &replicator.SnapshotRequest{Data: make([]byte, maxBytes)}}
+	for name, c := range map[string]struct {
+		messages []replicator.Envelope
+		want     int
+	}{
+		"one":               {[]replicator.Envelope{heartbeat}, 1},
+		"small":             {[]replicator.Envelope{heartbeat, heartbeat, heartbeat, heartbeat, heartbeat}, 5},
+		"large first":       {[]replicator.Envelope{large, heartbeat}, 1},
+		"large after":       {[]replicator.Envelope{heartbeat, heartbeat, large, heartbeat}, 2},
+		"nothing but large": {[]replicator.Envelope{large, large}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			require.Equal(t, c.want, countForCall(c.messages, maxBytes))
+		})
+	}
+}
+
 // Guards against messages from programs that hold a valid certificate of the system but
 // are not replicas.
 func TestDeliverChecksCaller(t *testing.T) {
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -31,9 +31,8 @@
 	sendCapacity  = 256
 	// stepBatch bounds the inputs of one step, which share one disk sync.
 	stepBatch = 256
-	// sendBatch bounds the messages of one call. Each has at most maxCommandBytes, and
-	// gRPC receives at most 4 MiB.
-	sendBatch = 3
+	// sendBatch bounds the messages that are taken from a queue at a time.
+	sendBatch = 64
 	// maxCommandBytes is the size limit of a command.
 	maxCommandBytes = 1 << 20
 	// ticksPerHeartbeat is the number of ticks in a heartbeat interval.
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -239,6 +239,21 @@
 	Message Message
 }
 
+// messageOverheadBytes is about the size of an envelope on the wire without entries or data.
+const messageOverheadBytes = 128
+
+// Size returns the approximate size of the envelope on the wire, in bytes.
+func (e Envelope) Size() int {
+	switch message := e.Message.(type) {
+	case *AppendRequest:
+		return messageOverheadBytes + sizeOf(message.Entries)
+	case *SnapshotRequest:
+		return messageOverheadBytes + len(message.Data)
+	default:
+		return messageOverheadBytes
+	}
+}
+
 type wireEnvelope struct {
 	_       struct{} `cbor:",toarray"`
 	Cluster storer.Identity
--- a/control/services/replicator/window.go
+++ b/control/services/replicator/window.go
@@ -1,8 +1,7 @@
 package replicator
 
 // maxUnanswered is the number of unanswered messages to a replica from which on the leader sends it
-// only heartbeats. The driver sends 3 messages in one call, so these fill the call in progress and
-// the next one.
+// only heartbeats.
 const maxUnanswered = 6
 
 // window has the messages to a replica that it has not answered. Without a bound, a leader that
