Log which voters a change waits for, and slow saves

No log tells slow disks of the voters from lost messages or from a paused replica, so the cause is still open.

Change: the leader logs "changes wait for a majority of the voters" once nothing is committed for a third of the election timeout, with the index up to which each voter has stored the log and the age of its answer, and "changes are committed again". A replica logs a save that takes as long. Each line stands for at least that time, so their number is bounded.

--- a/control/services/driver/cluster_test.go
+++ b/control/services/driver/cluster_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,7 +13,6 @@
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
 	"github.com/redwingledge/redwingledge/control/services/replicator"
-	"github.com/redwingledge/redwingledge/shared/modules/log"
 	"github.com/redwingledge/redwingledge/shared/modules/reporter"
 	"github.com/redwingledge/redwingledge/shared/modules/reserver/reservertest"
 	"github.com/redwingledge/redwingledge/shared/modules/timer"
@@ -61,9 +62,28 @@
 	applier *counter
 	store   *storer.Store
 	server  *transporter.Server
+	logs    *logBuffer
 	stopped bool
 }
 
+// logBuffer keeps the log lines of a replica.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func (r *replica) stop() {
 	if !r.stopped {
 		r.stopped = true
@@ -99,10 +119,10 @@
 	t.Helper()
 	store, state, err := storer.Open(storage)
 	require.NoError(t, err)
-	r := &replica{folder: storage.Folder, store: store}
+	r := &replica{folder: storage.Folder, store: store, logs: new(logBuffer)}
 	r.Driver, err = New(Options{
 		Settings: settings, Store: wrap(store), State: state, Applier: applier,
-		Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: log.Discard(),
+		Timer: timer.NewSystem(), Counters: reporter.NewCounters(), Logger: slog.New(slog.NewTextHandler(r.logs, nil)),
 	})
 	require.NoError(t, err)
 	r.server, err = transporter.Listen(settings.Address, nil, r.Service())
--- a/control/services/driver/driver.go
+++ b/control/services/driver/driver.go
@@ -89,10 +89,11 @@
 	// admitted holds the names of replicas that may join besides those of the settings.
 	admitted []string
 
-	// senders and saves are only used by the goroutine of runSteps.
-	saves   saves
-	senders map[netip.AddrPort]*buffer.Ring[replicator.Envelope]
-	metrics metrics
+	// saves, senders and commitWait are only used by the goroutine of runSteps.
+	saves      saves
+	senders    map[netip.AddrPort]*buffer.Ring[replicator.Envelope]
+	commitWait commitWait
+	metrics    metrics
 }
 
 var (
--- a/control/services/driver/saving.go
+++ b/control/services/driver/saving.go
@@ -114,6 +114,9 @@
 			d.failSave(err)
 			return
 		}
+		if took := d.options.Timer.Now().Sub(began); took >= d.options.Settings.ElectionTimeout/logWaitDivisor {
+			d.options.Logger.Warn("disk took long to store the log", "duration", took)
+		}
 		d.inputs.Push(replicator.Saved{Steps: steps})
 	})
 	return false, nil
--- a/control/services/driver/saving_test.go
+++ b/control/services/driver/saving_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,6 +69,40 @@
 	}
 }
 
+// Guards against changes of unknown outcome that no log explains: the leader names the voters that have not stored them,
+// and a replica reports its slow disk.
+func TestLogNamesVotersThatChangesWaitFor(t *testing.T) {
+	t.Parallel()
+	replicas, stores := startSlow(t)
+	lead := awaitLeader(t, replicas)
+	for i, s := range stores {
+		if i != lead {
+			s.delay.Store(int64(800 * time.Millisecond))
+		}
+	}
+	_, err := replicas[lead].Propose(t.Context(), []byte("command"))
+	require.NoError(t, err)
+	lines := replicas[lead].logs.String()
+	last := replicas[lead].Status().CommitIndex
+	require.Contains(t, lines, "changes wait for a majority of the voters")
+	require.Contains(t, lines, fmt.Sprintf("r%d stored up to %d", lead, last))
+	for i := range replicas {
+		if i != lead {
+			require.Contains(t, lines, fmt.Sprintf("r%d stored up to %d, as of", i, last-1))
+		}
+	}
+	require.Eventually(t, func() bool { return strings.Contains(replicas[lead].logs.String(), "changes are committed again") }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		for i, r := range replicas {
+			if i != lead && strings.Contains(r.logs.String(), "disk took long to store the log") {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, time.Millisecond)
+	require.NotContains(t, replicas[lead].logs.String(), "disk took long")
+}
+
 // Guards against a leader whose disk has stopped and that nobody replaces, as its heartbeats go on.
 func TestStoppedDiskCostsLeadership(t *testing.T) {
 	t.Parallel()
--- a/control/services/driver/status.go
+++ b/control/services/driver/status.go
@@ -25,6 +25,7 @@
 		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", voters, "standbys", standbys)
 	}
 	d.logCurrent()
+	d.logCommitWait(status)
 }
 
 // namesByVote returns the names of the members that vote and of those that do not.
