Acknowledge a repeated change once an earlier copy of it is committed

What callers saw: while disks were slow, a ready backend server was refused four times with 503 ("the command may or may not be committed"), although its announcement had been committed before the last refusal.

Cause: callers repeat a change whose commit takes longer than they wait (0.6 s). Each copy is a command of its own, and its call waited for its own commit. The leader looked at its state only before it proposed.

Change: the leader answers announcements and declarations as soon as its state has them. The proposal goes on, so that the time of each commit is still measured. Withdrawals and data centres taken out keep waiting for their own commit, as a request that is not committed yet may undo them.

Figures: TestChangeIsAcknowledgedOnceAnEarlierCopyIsCommitted fails before in its three cases and passes.

--- a/control/services/director/registration.go
+++ b/control/services/director/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/shared/models/director"
@@ -122,7 +123,7 @@
 	if len(positions) == 0 {
 		return result, nil
 	}
-	err := s.propose(ctx, command)
+	err := s.proposeUnless(ctx, command, func() bool { return s.areKnown(command.Announcements) })
 	if err != nil && !IsErrStaleAnnouncement(err) {
 		s.logger.Info("announcements not committed", "count", len(positions), log.FieldError, err)
 		return nil, err
@@ -143,6 +144,14 @@
 	return result, nil
 }
 
+// areKnown reports whether none of the announcements would change the state.
+func (s *Service) areKnown(announcements []Announcement) bool {
+	return !slices.ContainsFunc(announcements, func(a Announcement) bool {
+		_, ok := s.machine.IsKnown(a)
+		return !ok
+	})
+}
+
 // staleReason returns why the announcement of a host is out of date. The error of a
 // batch only describes its last stale announcement; others get a general reason.
 func staleReason(err error, host string) string {
--- a/control/services/director/registration_test.go
+++ b/control/services/director/registration_test.go
@@ -215,6 +215,54 @@
 	f.requireState(1, director.StateReady)
 }
 
+// lateCommits is a replica whose commands have unknown outcomes: the first one's call ends at once, and those of later
+// ones only with their contexts.
+type lateCommits struct {
+	*replica
+	commands chan []byte
+}
+
+func (r lateCommits) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	r.commands <- command
+	if len(r.commands) > 1 {
+		<-ctx.Done()
+	}
+	return nil, replicator.ErrOutcomeUnknown{Reason: "test"}
+}
+
+// Guards against a change that is committed and refused all the same: while disks are slow, callers repeat it, and each
+// copy waited for its own commit.
+func TestChangeIsAcknowledgedOnceAnEarlierCopyIsCommitted(t *testing.T) {
+	t.Parallel()
+	a := announce("h1", addressA, 100, 1, false).Announcements[0]
+	for name, call := range map[string]func(ctx context.Context, s *Service) error{
+		"announcement": func(ctx context.Context, s *Service) error { return s.Announce(ctx, a) },
+		"registration": func(ctx context.Context, s *Service) error {
+			_, err := s.Register(ctx, &Registration{Announcements: []Announcement{a}})
+			return err
+		},
+		"declaration": func(ctx context.Context, s *Service) error { return s.Declare(ctx, declaration(2).Declaration) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.declare()
+			late := lateCommits{replica: f.replica, commands: make(chan []byte, 2)}
+			s := NewService(Settings{Lease: lease, MinVoters: 3}, late, f.replica.machine, nil, f.clock, discard.Discard())
+			startForwarding(t, s)
+			ctx, cancel := context.WithTimeout(t.Context(), registerTimeout)
+			defer cancel()
+			require.True(t, replicator.IsErrOutcomeUnknown(call(ctx, s)))
+			repeated := make(chan error, 1)
+			go func() { repeated <- call(ctx, s) }()
+			require.Eventually(t, func() bool { return len(late.commands) == 2 }, 5*time.Second, time.Millisecond)
+			_, err := f.replica.Propose(t.Context(), <-late.commands)
+			require.NoError(t, err)
+			require.NoError(t, <-repeated)
+		})
+	}
+}
+
 // Guards against refusals while a leader is elected: thousands of backend servers would
 // then ask one replica after the other.
 func TestAnnouncementsWaitForCurrentReplica(t *testing.T) {
--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -87,12 +87,11 @@
 	if err := s.checkLeading(); err != nil {
 		return err
 	}
-	// Callers repeat a call whose commit takes longer than they wait. Each repetition would be stored again, and with a
-	// slow disk none would ever end in time.
-	if s.machine.Declared().Version >= declaration.Version {
+	isInForce := func() bool { return s.machine.Declared().Version >= declaration.Version }
+	if isInForce() {
 		return nil
 	}
-	return s.propose(ctx, Declare{Declaration: declaration})
+	return s.proposeUnless(ctx, Declare{Declaration: declaration}, isInForce)
 }
 
 // Declared returns the current declaration, including all that were committed before
@@ -185,6 +184,41 @@
 	return err
 }
 
+// proposeUnless proposes a command and returns once it is committed, or once isDone reports that another command has had
+// its effect. Callers repeat a call whose commit takes longer than they wait. With a slow disk, a repetition that waited
+// for its own commit would not end in time either, although an earlier one is committed meanwhile.
+func (s *Service) proposeUnless(ctx context.Context, command Command, isDone func() bool) error {
+	outcome := make(chan error, 1)
+	go func() {
+		// It goes on after an early return, so that every commit is observed.
+		ctx, cancel := withoutCancel(ctx)
+		defer cancel()
+		outcome <- s.propose(ctx, command)
+	}()
+	for {
+		changed := s.machine.Changed()
+		if isDone() {
+			return nil
+		}
+		select {
+		case err := <-outcome:
+			return err
+		case <-changed:
+		case <-ctx.Done():
+			return replicator.ErrOutcomeUnknown{Reason: ctx.Err().Error()}
+		}
+	}
+}
+
+// withoutCancel returns a context that ends at the deadline of ctx, and after registerTimeout if ctx has none.
+func withoutCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithTimeout(detached, registerTimeout)
+}
+
 // Run expires leases while this replica is the leader. It returns when ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticks := s.clock.Subscribe("leases", sweepPeriod)
