Give the gateways of the tests the default round of claims

Cause: TestConcurrentSendsRunOnce failed beside load, with 503 "no-claim-majority" instead of 200. The gateways of the tests had a round of claims of 0.1 s, while the default of the product (claim-round) is 1 s: on a busy machine four rounds in a row ended without the answers of a majority. The refusal was true, and no request ran twice.

Change: the fixture uses 1 s. All checks stay as they are.

--- a/gateway/routers/cluster_test.go
+++ b/gateway/routers/cluster_test.go
@@ -141,7 +141,7 @@
 		},
 		Peer: loopback,
 		Claims: claimer.Settings{
-			Self: name, MaxDeadline: 10 * time.Second, OutcomeLifetime: time.Minute, RoundTimeout: 100 * time.Millisecond, ViewSpread: 100 * time.Millisecond,
+			Self: name, MaxDeadline: 10 * time.Second, OutcomeLifetime: time.Minute, RoundTimeout: time.Second, ViewSpread: 100 * time.Millisecond,
 			MaxKeys: 1000, MaxBytes: 1 << 20, MaxPending: 1000, FirstStart: true,
 		},
 		Slots: scheduler.Settings{
