Read the log of waiting changes as a newcomer

Cause: a switch with an empty case and a condition of three parts had to be read twice. Change: the progress of one voter has its own function, and the condition a name; nothing else changes.

--- a/control/services/driver/commit_waiting.go
+++ b/control/services/driver/commit_waiting.go
@@ -10,7 +10,7 @@
 // majority, are logged. Callers wait longer for a change, so a failed one finds its cause in the log.
 const logWaitDivisor = 3
 
-// commitWait is the time for which the leader has had entries that are not committed, without committing any.
+// commitWait is a period in which the leader has entries that are not committed, and commits none.
 type commitWait struct {
 	isWaiting, isLogged bool
 	since               time.Time
@@ -22,7 +22,8 @@
 	w, now := &d.commitWait, d.options.Timer.Now()
 	isLeader := status.Role == replicator.RoleLeader
 	isWaiting := isLeader && status.LastIndex > status.CommitIndex
-	if !isWaiting || !w.isWaiting || status.CommitIndex > w.commitIndex {
+	hasProgress := status.CommitIndex > w.commitIndex
+	if !isWaiting || !w.isWaiting || hasProgress {
 		if w.isLogged && isLeader {
 			d.options.Logger.Info("changes are committed again", "after", now.Sub(w.since), "commit_index", status.CommitIndex)
 		}
--- a/control/services/replicator/voter_progress.go
+++ b/control/services/replicator/voter_progress.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
 )
 
 // VoterProgress describes how far a voter has stored the log, as the leader knows it.
@@ -35,17 +37,20 @@
 	}
 	var all []VoterProgress
 	for _, member := range m.membership().Members {
-		switch p := m.leaderState.progress[member.ID]; {
-		case !member.Voter:
-		case member.ID == m.id:
-			all = append(all, VoterProgress{Name: member.Name, StoredIndex: m.saving.stored.index, HasAnswered: true})
-		case p == nil || p.sentAt == math.MinInt64:
-			all = append(all, VoterProgress{Name: member.Name})
-		default:
-			all = append(all, VoterProgress{
-				Name: member.Name, StoredIndex: p.matchIndex, HasAnswered: true, Age: time.Duration(m.clock() - p.sentAt),
-			})
+		if member.Voter {
+			all = append(all, m.progressOf(member))
 		}
 	}
 	return all
 }
+
+func (m *Machine) progressOf(member storer.Member) VoterProgress {
+	if member.ID == m.id {
+		return VoterProgress{Name: member.Name, StoredIndex: m.saving.stored.index, HasAnswered: true}
+	}
+	p := m.leaderState.progress[member.ID]
+	if p == nil || p.sentAt == math.MinInt64 {
+		return VoterProgress{Name: member.Name}
+	}
+	return VoterProgress{Name: member.Name, StoredIndex: p.matchIndex, HasAnswered: true, Age: time.Duration(m.clock() - p.sentAt)}
+}
