Pass a vote from one replica to another by joint consensus

Seen by callers: control ends for good, every call gets 503, although no more VMs are lost than fault-tolerance allows.

Cause: the leader gave the successor a vote first and took the vote of the VM that is gone afterwards. In between 2 f + 2 replicas voted, one of them dead, so that f more losses left no majority.

Change: the vote passes by a joint membership (section 6 of the Raft paper), which needs a majority of the voters before and of those after. At every step 2 f + 1 replicas vote on each side, and each dead vote belongs to a VM that counts as lost. - A replica may stand for election until the membership without its vote is committed: it may be the only one that has it, and the others need its vote. - Replicas that joined first get a vote first.

awaitVoters of the driver's tests also waits until the vote has passed, as the last disk lost counts until then.

--- a/control/models/storer/record.go
+++ b/control/models/storer/record.go
@@ -2,11 +2,7 @@
 // under the data folder: identity, term and vote, log and snapshot.
 package storer
 
-import (
-	"encoding/hex"
-	"net/netip"
-	"slices"
-)
+import "encoding/hex"
 
 // Identity is the random 128-bit identifier of a replica's data folder, or of a
 // cluster.
@@ -48,69 +44,6 @@
 	Candidate Identity
 }
 
-// Member is one replica of a membership.
-type Member struct {
-	_       struct{} `cbor:",toarray"`
-	ID      Identity
-	Name    string
-	Address netip.AddrPort
-	Voter   bool
-}
-
-// Membership is the set of replicas as of one position of the log.
-type Membership struct {
-	_       struct{} `cbor:",toarray"`
-	Cluster Identity
-	Members []Member
-}
-
-// Get returns the member with the given identity.
-func (m Membership) Get(id Identity) (Member, bool) {
-	for _, member := range m.Members {
-		if member.ID == id {
-			return member, true
-		}
-	}
-	return Member{}, false
-}
-
-// IsVoter reports whether id is a voter.
-func (m Membership) IsVoter(id Identity) bool {
-	member, ok := m.Get(id)
-	return ok && member.Voter
-}
-
-// Voters returns the number of voters.
-func (m Membership) Voters() int {
-	n := 0
-	for _, member := range m.Members {
-		if member.Voter {
-			n++
-		}
-	}
-	return n
-}
-
-// With returns a copy in which member is added, or replaces the one with the
-// same identity.
-func (m Membership) With(member Member) Membership {
-	c := m.Without(member.ID)
-	c.Members = append(c.Members, member)
-	slices.SortFunc(c.Members, func(a, b Member) int { return slices.Compare(a.ID[:], b.ID[:]) })
-	return c
-}
-
-// Without returns a copy that lacks the member with the given identity.
-func (m Membership) Without(id Identity) Membership {
-	c := Membership{Cluster: m.Cluster, Members: make([]Member, 0, len(m.Members)+1)}
-	for _, member := range m.Members {
-		if member.ID != id {
-			c.Members = append(c.Members, member)
-		}
-	}
-	return c
-}
-
 // Snapshot replaces the log up to and including Index.
 type Snapshot struct {
 	_     struct{} `cbor:",toarray"`
--- a/control/services/driver/cluster_test.go
+++ b/control/services/driver/cluster_test.go
@@ -159,7 +159,7 @@
 	t.Helper()
 	require.Eventually(t, func() bool {
 		for _, r := range replicas {
-			if s := r.Status(); s.Membership.Voters() != n || !s.Verified || s.Leader == "" || !s.Membership.IsVoter(s.ID) {
+			if s := r.Status(); s.Membership.Voters() != n || s.Membership.IsJoint() || !s.Verified || s.Leader == "" || !s.Membership.IsVoter(s.ID) {
 				return false
 			}
 		}
--- a/control/services/replicator/committing.go
+++ b/control/services/replicator/committing.go
@@ -53,28 +53,33 @@
 	}
 }
 
-// advanceCommit commits the entries that a majority of the voters has stored, if the last of
-// them is of the current term.
-func (m *Machine) advanceCommit() {
-	var stored []uint64
-	since := m.activeSince()
-	for _, member := range m.membership().Members {
-		if !member.Voter {
-			continue
-		}
+// indexStoredByMajority returns the index up to which a majority of the voters has stored the log, as far as their
+// responses still count.
+func (m *Machine) indexStoredByMajority(voters []storer.Identity) uint64 {
+	if len(voters) == 0 {
+		return 0
+	}
+	stored := make([]uint64, 0, len(voters))
+	for _, id := range voters {
 		index := uint64(0)
-		if member.ID == m.id {
+		if id == m.id {
 			index = m.saving.stored.index
-		} else if p := m.leaderState.progress[member.ID]; p != nil && p.verified && p.sentAt >= since {
-			index = p.matchIndex
+		} else if m.isActive(id) {
+			index = m.leaderState.progress[id].matchIndex
 		}
 		stored = append(stored, index)
 	}
-	if len(stored) == 0 {
-		return
-	}
 	slices.Sort(stored)
-	index := stored[len(stored)-m.majority(len(stored))]
+	return stored[len(stored)-m.majority(len(stored))]
+}
+
+// advanceCommit commits the entries that a majority of the voters has stored, if the last of
+// them is of the current term.
+func (m *Machine) advanceCommit() {
+	index := uint64(math.MaxUint64)
+	for _, voters := range m.membership().VoterSets() {
+		index = min(index, m.indexStoredByMajority(voters))
+	}
 	if term, ok := m.log.term(index); !ok || term != m.term || index <= m.commitIndex {
 		return
 	}
--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -34,7 +34,7 @@
 // requested the election.
 func (m *Machine) startElection(preVote, leadershipTransfer bool) {
 	m.resetElection()
-	if !m.membership().IsVoter(m.id) || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
+	if !m.mayVote() || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
 		return
 	}
 	if m.role == RoleCandidate {
@@ -58,7 +58,7 @@
 		m.counts.Elections++
 	}
 	for _, member := range m.membership().Members {
-		if member.Voter && member.ID != m.id {
+		if m.membership().IsVoter(member.ID) && member.ID != m.id {
 			m.sendTo(member, &VoteRequest{
 				PreVote: preVote, Term: term, LastIndex: m.log.last(), LastTerm: m.log.lastTerm(), LeadershipTransfer: leadershipTransfer,
 			})
@@ -162,13 +162,7 @@
 }
 
 func (m *Machine) countVotes() {
-	n := 0
-	for id := range m.votes {
-		if m.membership().IsVoter(id) {
-			n++
-		}
-	}
-	if n < m.majority(m.membership().Voters()) {
+	if !m.membership().HasMajority(m.majority, func(id storer.Identity) bool { return m.votes[id] }) {
 		return
 	}
 	switch m.role {
--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "github.com/redwingledge/redwingledge/control/models/storer"
+import (
+	"slices"
+
+	"github.com/redwingledge/redwingledge/control/models/storer"
+)
 
 // leaveElectionTimeouts is the number of election timeouts for which a replica counts as leaving after its last
 // LeaveRequest. A replica whose process has ended counts as active for one after its last response.
@@ -73,25 +77,9 @@
 	if !m.settings.OpenMembership {
 		return false
 	}
-	// An uncommitted membership may still be replaced by the one before.
-	committed := m.committedMembershipIndex()
-	for _, at := range m.memberships {
-		if at.index >= committed && at.membership.IsVoter(m.id) && (at.membership.Voters() < len(at.membership.Members) || at.membership.Voters() > m.settings.MinVoters) {
-			return true
-		}
-	}
-	return false
-}
-
-// committedMembershipIndex returns the index of the newest committed membership.
-func (m *Machine) committedMembershipIndex() uint64 {
-	index := uint64(0)
-	for _, at := range m.memberships {
-		if at.index <= m.commitIndex {
-			index = at.index
-		}
-	}
-	return index
+	return slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool {
+		return at.membership.IsVoter(m.id) && (at.membership.Voters() < len(at.membership.Members) || at.membership.Voters() > m.settings.MinVoters)
+	})
 }
 
 // requestLeave asks the leader to let another replica vote in place of this one, or not to let this one vote.
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -120,19 +120,10 @@
 // majoritySatisfies reports whether a majority of the voters meets the condition. This replica
 // always meets it, an unverified replica never.
 func (m *Machine) majoritySatisfies(condition func(*progress) bool) bool {
-	n, voters := 0, 0
-	for _, member := range m.membership().Members {
-		if !member.Voter {
-			continue
-		}
-		voters++
-		if member.ID == m.id {
-			n++
-		} else if p := m.leaderState.progress[member.ID]; p != nil && p.verified && condition(p) {
-			n++
-		}
-	}
-	return n >= m.majority(voters)
+	return m.membership().HasMajority(m.majority, func(id storer.Identity) bool {
+		p := m.leaderState.progress[id]
+		return id == m.id || p != nil && p.verified && condition(p)
+	})
 }
 
 func (m *Machine) tickLeading() {
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -189,7 +189,7 @@
 // isOnlyVoter reports whether this replica is the only voter.
 func (m *Machine) isOnlyVoter() bool {
 	membership := m.membership()
-	return membership.Voters() == 1 && membership.IsVoter(m.id)
+	return membership.Voters() == 1 && membership.IsVoter(m.id) && !membership.IsJoint()
 }
 
 func (m *Machine) setTerm(term uint64, vote storer.Identity) {
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -20,17 +20,31 @@
 	membership storer.Membership
 }
 
-// canChangeMembership reports whether the last change and an entry of the current term are
+// isMembershipCommitted reports whether the last change and an entry of the current term are
 // committed. Otherwise the majorities of two memberships might not overlap.
-func (m *Machine) canChangeMembership() bool {
+func (m *Machine) isMembershipCommitted() bool {
 	return m.membershipIndex() <= m.commitIndex && m.commitIndex >= m.leaderState.termStartIndex
 }
 
-// adjustMembership makes at most one change: it adds a replica that asked to join as a
-// non-voter, promotes a non-voter that has caught up, demotes a voter that has been replaced,
-// removes a silent replica, or demotes a surplus voter.
+// canChangeMembership reports whether another change may begin.
+func (m *Machine) canChangeMembership() bool {
+	return m.isMembershipCommitted() && !m.membership().IsJoint()
+}
+
+// adjustMembership makes at most one change: it completes one that passes a vote, adds a replica that asked to join
+// as a non-voter, gives a non-voter that has caught up a vote, demotes a silent voter, removes a silent replica, or
+// demotes a surplus voter.
+//
+// Any MinVoters / 2 voters may be lost for ever after each change, also before it is committed. So a vote passes from one
+// replica to another by a joint membership: if the new voter was added first, one more vote would count against the
+// majority than replicas are lost.
 func (m *Machine) adjustMembership() {
-	if m.canChangeMembership() && !m.admitJoiningReplica() && !m.promoteNonVoter() && !m.demoteReplacedVoter() && !m.removeSilentReplica() {
+	switch {
+	case !m.isMembershipCommitted():
+	case m.membership().IsJoint():
+		m.completeVotePassing()
+	case m.admitJoiningReplica() || m.promoteNonVoter() || m.demoteSilentVoter() || m.removeSilentReplica():
+	default:
 		m.demoteSurplusVoter()
 	}
 }
@@ -90,38 +104,77 @@
 	return id == m.id || (p != nil && p.verified && p.sentAt >= m.activeSince())
 }
 
+// promoteNonVoter gives at most one replica that has caught up the vote of its earlier identity, or a vote of its own, or,
+// if MaxVoters vote, that of a voter that does not stay. Those that joined first come first: the last one may be the
+// successor of a voter that is gone, and would have a second vote beside it in place of another one.
 func (m *Machine) promoteNonVoter() bool {
 	membership := m.membership()
 	for _, member := range membership.Members {
 		if member.Voter || !m.isActive(member.ID) || m.isLeaving(member.ID) || m.leaderState.progress[member.ID].matchIndex+maxLag < m.log.last() {
 			continue
 		}
-		// The earlier identity of a replica that lost its disk is removed first, so that the
-		// number of voters never exceeds the number of replicas.
-		for _, other := range membership.Members {
-			if other.Name == member.Name && other.Voter {
-				if !m.canRemove(other.ID) {
-					return false
-				}
-				m.changeMembership(membership.Without(other.ID))
-				return true
-			}
+		replaced, ok := m.voterNamed(member.Name)
+		isFull := m.settings.MaxVoters > 0 && membership.Voters() >= m.settings.MaxVoters
+		if !ok && isFull {
+			replaced, ok = m.voterToReplace()
 		}
-		if m.settings.MaxVoters > 0 && m.countVoters(m.isStaying) >= m.settings.MaxVoters {
-			continue
+		switch {
+		case ok:
+			m.changeMembership(membership.WithVotePassed(replaced, member))
+			return true
+		case !isFull:
+			member.Voter = true
+			m.changeMembership(membership.With(member))
+			return true
 		}
-		member.Voter = true
-		m.changeMembership(membership.With(member))
-		return true
 	}
 	return false
 }
 
-// demoteReplacedVoter makes at most one voter of an open membership a non-voter if it is silent or
-// leaves, enough others vote, and a majority of them responds. Otherwise it would count against the
-// majority until it is removed, and the next replica that loses its disk could leave no majority. Of
-// the others, one may be silent, too: with the vote of the first one, that would be two against the majority.
-func (m *Machine) demoteReplacedVoter() bool {
+// voterNamed returns the voter with the name. A non-voter of that name is the same replica after it has lost its disk.
+func (m *Machine) voterNamed(name string) (storer.Member, bool) {
+	members := m.membership().Members
+	i := slices.IndexFunc(members, func(member storer.Member) bool { return member.Voter && member.Name == name })
+	if i < 0 {
+		return storer.Member{}, false
+	}
+	return members[i], true
+}
+
+// voterToReplace returns the voter whose vote another replica should get, if there is one: one that leaves, or else the
+// one that has been silent for longest. That one is most likely gone for good.
+func (m *Machine) voterToReplace() (storer.Member, bool) {
+	var replaced storer.Member
+	for _, member := range m.membership().Members {
+		switch {
+		case !member.Voter || m.isStaying(member.ID):
+		case m.isLeaving(member.ID):
+			return member, true
+		case !replaced.Voter || m.lastHeardAt(member.ID) < m.lastHeardAt(replaced.ID):
+			replaced = member
+		}
+	}
+	return replaced, replaced.Voter
+}
+
+// completeVotePassing ends a joint membership. The earlier identity of a replica that has lost its disk stops being a
+// member.
+func (m *Machine) completeVotePassing() {
+	membership := m.membership().WithoutOutgoing()
+	for _, member := range membership.Members {
+		hasSuccessor := slices.ContainsFunc(membership.Members, func(other storer.Member) bool {
+			return other.Name == member.Name && other.ID != member.ID && (other.Voter || m.isActive(other.ID))
+		})
+		if hasSuccessor && !member.Voter && !m.isActive(member.ID) {
+			membership = membership.Without(member.ID)
+		}
+	}
+	m.changeMembership(membership)
+}
+
+// demoteSilentVoter makes at most one voter of an open membership a non-voter if it is silent or leaves, MinVoters others
+// vote, and a majority of them responds.
+func (m *Machine) demoteSilentVoter() bool {
 	if !m.settings.OpenMembership {
 		return false
 	}
@@ -153,11 +206,10 @@
 	return false
 }
 
-// demoteSurplusVoter makes one voter a non-voter if more than MaxVoters respond. That happens
-// when a voter comes back after another replica was promoted in its place.
+// demoteSurplusVoter makes one voter a non-voter if more than MaxVoters respond. That happens when the limit falls.
 func (m *Machine) demoteSurplusVoter() {
 	membership := m.membership()
-	if m.settings.MaxVoters <= 0 || m.countVoters(m.isActive) <= m.settings.MaxVoters {
+	if m.settings.MaxVoters <= 0 || m.countActiveVoters() <= m.settings.MaxVoters {
 		return
 	}
 	for _, member := range membership.Members {
@@ -177,8 +229,17 @@
 // hasRespondedWithin reports whether a replica has responded, or the leader has begun to track it,
 // within the timeout. 0 means no timeout.
 func (m *Machine) hasRespondedWithin(id storer.Identity, timeout time.Duration) bool {
+	return id == m.id || m.leaderState.progress[id] == nil || timeout <= 0 || m.clock()-m.lastHeardAt(id) < int64(timeout)
+}
+
+// lastHeardAt returns the leader's clock at the newest request that a replica has answered or, without one, when the
+// leader began to track it.
+func (m *Machine) lastHeardAt(id storer.Identity) int64 {
 	p := m.leaderState.progress[id]
-	return id == m.id || p == nil || timeout <= 0 || m.clock()-max(p.sentAt, p.trackedAt) < int64(timeout)
+	if p == nil {
+		return m.clock()
+	}
+	return max(p.sentAt, p.trackedAt)
 }
 
 // isLeaving reports whether a replica is about to stop as planned, so that it should not vote.
@@ -196,10 +257,10 @@
 	return !m.isLeaving(id) && m.hasRespondedWithin(id, timeout)
 }
 
-func (m *Machine) countVoters(condition func(storer.Identity) bool) int {
+func (m *Machine) countActiveVoters() int {
 	count := 0
 	for _, member := range m.membership().Members {
-		if member.Voter && condition(member.ID) {
+		if member.Voter && m.isActive(member.ID) {
 			count++
 		}
 	}
@@ -273,6 +334,24 @@
 	return m.memberships[len(m.memberships)-1].membership
 }
 
+// possibleMemberships returns the newest committed membership and the later ones, any of which may be in force at other
+// replicas.
+func (m *Machine) possibleMemberships() []indexedMembership {
+	first := 0
+	for i, at := range m.memberships {
+		if at.index <= m.commitIndex {
+			first = i
+		}
+	}
+	return m.memberships[first:]
+}
+
+// mayVote reports whether this replica is a voter of a membership that may be in force. One that has stored the membership
+// without its vote, which the other voters have not, can still be needed as the leader that commits it.
+func (m *Machine) mayVote() bool {
+	return slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool { return at.membership.IsVoter(m.id) })
+}
+
 func (m *Machine) membershipIndex() uint64 { return m.memberships[len(m.memberships)-1].index }
 
 func (m *Machine) recordMembership(e storer.Entry) error {
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -29,13 +29,18 @@
 	if n.machine != nil {
 		sim.kill(n)
 	}
-	sim.nodes = slices.DeleteFunc(sim.nodes, func(other *node) bool { return other == n })
+	sim.remove(n)
 	sim.settings.Bootstrap = false
 	sim.startReplacement()
 }
 
+// remove removes a replica that is gone for good.
+func (sim *simulation) remove(n *node) {
+	sim.nodes = slices.DeleteFunc(sim.nodes, func(other *node) bool { return other == n })
+}
+
 // startReplacement starts a replica with an empty disk at another address.
-func (sim *simulation) startReplacement() {
+func (sim *simulation) startReplacement() *node {
 	sim.seq++
 	replacement := &node{
 		name: fmt.Sprintf("n%d", sim.seq), clockRate: 1,
@@ -43,6 +48,7 @@
 	}
 	sim.nodes = append(sim.nodes, replacement)
 	sim.start(replacement)
+	return replacement
 }
 
 // changeSeeds replaces the peers in the settings with three random replicas, so that replicas that
--- a/control/services/replicator/simulated_disk_test.go
+++ b/control/services/replicator/simulated_disk_test.go
@@ -23,14 +23,36 @@
 
 // last returns the index of the last stored entry.
 func (d *disk) last() uint64 {
-	index := uint64(0)
+	index, _ := d.end()
+	return index
+}
+
+// end returns the index and the term of the last stored entry.
+func (d *disk) end() (index, term uint64) {
 	if d.snapshot != nil {
-		index = d.snapshot.Index
+		index, term = d.snapshot.Index, d.snapshot.Term
 	}
 	if len(d.entries) > 0 {
-		index = max(index, d.entries[len(d.entries)-1].Index)
+		if last := d.entries[len(d.entries)-1]; last.Index > index {
+			index, term = last.Index, last.Term
+		}
 	}
-	return index
+	return index, term
+}
+
+// memberships returns the stored memberships in the order of the log.
+func (d *disk) memberships() []indexedMembership {
+	var all []indexedMembership
+	if d.snapshot != nil {
+		all = append(all, indexedMembership{index: d.snapshot.MembershipIndex, membership: d.snapshot.Membership})
+	}
+	for _, e := range d.entries {
+		// Machine refuses entries that it cannot decode.
+		if membership, err := decodeMembership(e); err == nil && membership != nil && (len(all) == 0 || e.Index > all[len(all)-1].index) {
+			all = append(all, indexedMembership{index: e.Index, membership: *membership})
+		}
+	}
+	return all
 }
 
 func (d *disk) save(out []Output) {
@@ -82,6 +104,9 @@
 		return
 	}
 	n.disk.save(saved.outputs)
+	if saved.steps > 0 && sim.onSaved != nil {
+		sim.onSaved()
+	}
 	isCrashing := n.crash && saved.steps > 0
 	if isCrashing {
 		saved.outputs = saved.outputs[:sim.rng.IntN(len(saved.outputs))]
--- a/control/services/replicator/simulation_test.go
+++ b/control/services/replicator/simulation_test.go
@@ -33,6 +33,8 @@
 	mutation mutation
 	// saveTime returns how long the disk of a replica takes to save. nil means no time.
 	saveTime func(*node) time.Duration
+	// onSaved is called after each save, or nil.
+	onSaved func()
 	// cuts has the pairs of sender and receiver between which nothing is delivered.
 	cuts map[[2]string]bool
 	// slowLink is nil, or the link to one replica that transmits one message after the other.
@@ -154,7 +156,7 @@
 // disk.
 func (sim *simulation) hasConverged() bool {
 	lead := sim.leader()
-	if lead == nil || len(sim.running()) < len(sim.nodes) || lead.machine.membershipIndex() > lead.machine.commitIndex {
+	if lead == nil || len(sim.running()) < len(sim.nodes) || lead.machine.membershipIndex() > lead.machine.commitIndex || lead.machine.membership().IsJoint() {
 		return false
 	}
 	membership, voters, wanted := lead.machine.membership(), 0, len(sim.nodes)
--- a/control/services/replicator/verification.go
+++ b/control/services/replicator/verification.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingledge/redwingledge/control/models/storer"
@@ -48,11 +49,11 @@
 	}
 }
 
-// otherVoters returns all voters except this replica.
+// otherVoters returns all voters except this replica, outgoing ones included.
 func (m *Machine) otherVoters() []storer.Member {
 	var others []storer.Member
 	for _, member := range m.membership().Members {
-		if member.Voter && member.ID != m.id {
+		if m.membership().IsVoter(member.ID) && member.ID != m.id {
 			others = append(others, member)
 		}
 	}
@@ -111,22 +112,39 @@
 	m.finishVerificationIfReady()
 }
 
+// countVerifyResponses returns the number of the voters with this replica, and how many of the others have responded.
+func (m *Machine) countVerifyResponses(voters []storer.Identity) (n, answered int) {
+	n = 1
+	for _, id := range voters {
+		if id == m.id {
+			continue
+		}
+		n++
+		if m.verification.responses[id] != nil {
+			answered++
+		}
+	}
+	return n, answered
+}
+
 // finishVerificationIfReady ends the verification once enough voters have responded.
 func (m *Machine) finishVerificationIfReady() {
 	v := &m.verification
 	others := m.otherVoters()
-	n := len(others) + 1
-	answered, outdated := 0, false
-	for _, member := range others {
-		if resp := v.responses[member.ID]; resp != nil {
-			answered++
-			outdated = outdated || resp.MembershipIndex > m.membershipIndex()
-		}
+	outdated := slices.ContainsFunc(others, func(member storer.Member) bool {
+		resp := v.responses[member.ID]
+		return resp != nil && resp.MembershipIndex > m.membershipIndex()
+	})
+	isComplete, isWeak := true, true
+	for _, voters := range m.membership().VoterSets() {
+		n, answered := m.countVerifyResponses(voters)
+		isComplete = isComplete && answered >= min(n-1, n/2+1)
+		isWeak = isWeak && answered >= n/2
 	}
 	switch {
-	case answered >= min(n-1, n/2+1) && !outdated:
+	case isComplete && !outdated:
 		m.counts.Verifications++
-	case m.settings.TrustDiskAfter > 0 && m.now.Sub(v.phaseStartedAt) >= m.settings.TrustDiskAfter && answered >= n/2:
+	case m.settings.TrustDiskAfter > 0 && m.now.Sub(v.phaseStartedAt) >= m.settings.TrustDiskAfter && isWeak:
 		m.counts.WeakVerifications++
 	default:
 		return
--- a/control/services/replicator/voter_progress.go
+++ b/control/services/replicator/voter_progress.go
@@ -37,7 +37,7 @@
 	}
 	var all []VoterProgress
 	for _, member := range m.membership().Members {
-		if member.Voter {
+		if m.membership().IsVoter(member.ID) {
 			all = append(all, m.progressOf(member))
 		}
 	}
