Let a replica that lost its disk find the cluster by its own address

It answered every call with 503, and its vote stayed lost, although its time to catch up had passed.

Cause: it asked only the peers of its settings. The others go on sending messages to its earlier identity at the same address, which it refused and forgot.

Change: a replica that belongs to no cluster asks the senders of such messages, too. The leader admits it as before.

--- a/control/services/replicator/joining.go
+++ b/control/services/replicator/joining.go
@@ -53,9 +53,22 @@
 			m.sendTo(storer.Member{Name: member.Name, Address: member.Address}, req)
 		}
 	}
+	for address := range m.earlierContacts {
+		if !m.isPeer(address) {
+			m.sendTo(storer.Member{Address: address}, req)
+		}
+	}
 	m.bootstrapIfReady()
 }
 
+// noteEarlierContact remembers the sender of a message to another identity at this address: a replica of the cluster to
+// which this one belonged before it lost its disk. All peers in the settings may be lost at that time.
+func (m *Machine) noteEarlierContact(env Envelope) {
+	if m.isUnbootstrapped() && env.Address != m.settings.Address && len(m.earlierContacts) < maxAddresses {
+		m.earlierContacts[env.Address] = true
+	}
+}
+
 // mayHaveBeenRemoved reports whether the last contact to a leader is so long ago that the leader
 // may have removed this replica.
 func (m *Machine) mayHaveBeenRemoved() bool {
@@ -110,7 +123,7 @@
 // bootstrapIfReady creates a cluster with this replica as the only voter if no peer belongs to a
 // cluster. The peers join it afterwards.
 func (m *Machine) bootstrapIfReady() {
-	if !m.settings.Bootstrap || !m.isUnbootstrapped() || m.settings.Peers[0].Name != m.settings.Name || !m.hasBootstrapAnswers() {
+	if !m.settings.Bootstrap || !m.isUnbootstrapped() || len(m.settings.Peers) == 0 || m.settings.Peers[0].Name != m.settings.Name || !m.hasBootstrapAnswers() {
 		return
 	}
 	var cluster storer.Identity
--- a/control/services/replicator/loss_order_test.go
+++ b/control/services/replicator/loss_order_test.go
@@ -51,12 +51,7 @@
 
 func newLossOrder(t *testing.T, seed uint64, size, allowed int) *lossOrder {
 	t.Helper()
-	sim := newConfiguredSimulation(seed, size, mutation{}, func(s *Settings) {
-		configureOpenMembership(s)
-		s.MinVoters, s.MaxVoters = 2*allowed+1, 2*allowed+1
-	})
-	require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
-	sim.settings.Bootstrap = false
+	sim := newVotingSimulation(t, seed, size, 2*allowed+1)
 	o := &lossOrder{sim: sim, rng: rand.New(rand.NewPCG(seed, 9)), allowed: allowed, catchUp: catchUp}
 	if allowed > 1 {
 		o.catchUp = 6 * time.Second
--- a/control/services/replicator/lost_successor_test.go
+++ b/control/services/replicator/lost_successor_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 // Guards against control that ends for good when a replica is gone and its successor loses its disk just as it votes: both
@@ -16,11 +14,7 @@
 		for wait := time.Second; wait <= 3*time.Second; wait += tickPeriod {
 			t.Run(fmt.Sprintf("%d voters, %s", size, wait), func(t *testing.T) {
 				t.Parallel()
-				sim := newConfiguredSimulation(uint64(wait), size, mutation{}, func(s *Settings) {
-					configureOpenMembership(s)
-					s.MinVoters, s.MaxVoters = size, size
-				})
-				require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+				sim := newVotingSimulation(t, uint64(wait), size, size)
 				sim.replace(follower(sim))
 				successor := sim.nodes[len(sim.nodes)-1]
 				// With five voters another one may be lost as well.
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -76,9 +76,11 @@
 	joinState    joinState
 	// addresses has the addresses of recent senders, for responses to replicas that are not in
 	// the membership.
-	addresses   map[storer.Identity]netip.AddrPort
-	incoming    incomingSnapshot
-	leaderState *leaderState
+	addresses map[storer.Identity]netip.AddrPort
+	// earlierContacts has the addresses of replicas that still know an earlier identity of this one.
+	earlierContacts map[netip.AddrPort]bool
+	incoming        incomingSnapshot
+	leaderState     *leaderState
 }
 
 // New returns the Machine of a replica that has just started with the given durable state. It
@@ -93,7 +95,7 @@
 		majority: func(n int) int { return n/2 + 1 },
 		term:     state.Vote.Term, vote: state.Vote.Candidate, log: log, snapshot: state.Snapshot,
 		memberships: []indexedMembership{{}}, role: RoleFollower,
-		addresses: make(map[storer.Identity]netip.AddrPort), joinState: joinState{unbootstrapped: make(map[string]bool)},
+		addresses: make(map[storer.Identity]netip.AddrPort), earlierContacts: make(map[netip.AddrPort]bool), joinState: joinState{unbootstrapped: make(map[string]bool)},
 	}
 	m.saving.stored = storedState{term: m.term, index: log.last()}
 	if s := state.Snapshot; s != nil {
--- a/control/services/replicator/messaging.go
+++ b/control/services/replicator/messaging.go
@@ -11,6 +11,9 @@
 	if (!env.To.IsZero() && env.To != m.id) || env.From == m.id ||
 		(!cluster.IsZero() && !env.Cluster.IsZero() && cluster != env.Cluster) || !isValid(env.Message) {
 		m.counts.MessagesRefused++
+		if !env.To.IsZero() && env.To != m.id && isValid(env.Message) {
+			m.noteEarlierContact(env)
+		}
 		return
 	}
 	if len(m.addresses) >= maxAddresses {
--- a/control/services/replicator/open_membership_test.go
+++ b/control/services/replicator/open_membership_test.go
@@ -18,6 +18,18 @@
 	return newConfiguredSimulation(seed, size, mutation{}, configureOpenMembership)
 }
 
+// newVotingSimulation starts replicas of an open membership, of which some vote, and waits until they do.
+func newVotingSimulation(t *testing.T, seed uint64, size, voters int) *simulation {
+	t.Helper()
+	sim := newConfiguredSimulation(seed, size, mutation{}, func(s *Settings) {
+		configureOpenMembership(s)
+		s.MinVoters, s.MaxVoters = voters, voters
+	})
+	require.True(t, sim.waitForConvergence(20*time.Second), sim.describe())
+	sim.settings.Bootstrap = false
+	return sim
+}
+
 func configureOpenMembership(s *Settings) {
 	s.OpenMembership, s.SkipVerification = true, true
 	s.MaxVoters, s.MinVoters, s.RemoveSilentAfter, s.ReplaceSilentAfter = 3, 3, 3500*time.Millisecond, 1200*time.Millisecond
