Acknowledge a change once the vote of a lost replica has passed on

Cause: on a slow disk (0.5 s to 2 s for a save) the three replicas that were left elected no leader for 16 s to 22 s. The successor of the VM that was gone had run for longer than it needs to catch up, and so the VM counted as lost no longer, but still had its vote. The new leader acknowledged the configuration 1.1 s to 1.9 s after its election, before it had passed that vote on: of five voters one was gone and two lost their disks.

Change: the leader acknowledges declarations and data centres taken out or back once no vote is about to pass. It waits while a voter is silent or leaves and a replica stands by or asks to join, until the membership is settled again; after more than 2.7 s without a leader also until all replicas have had time to ask. A new leader counts all voters' silence from the last message of the leader before it, not only that one's, and gives them 0.45 s to answer.

--- a/control/services/director/service.go
+++ b/control/services/director/service.go
@@ -88,10 +88,12 @@
 		return err
 	}
 	isInForce := func() bool { return s.machine.Declared().Version >= declaration.Version }
-	if isInForce() {
-		return nil
+	if !isInForce() {
+		if err := s.proposeUnless(ctx, Declare{Declaration: declaration}, isInForce); err != nil {
+			return err
+		}
 	}
-	return s.proposeUnless(ctx, Declare{Declaration: declaration}, isInForce)
+	return s.awaitReplacement(ctx)
 }
 
 // Declared returns the current declaration, including all that were committed before
@@ -105,7 +107,10 @@
 
 // TakeOut takes a data centre out of use or brings it back. Errors are those of replicator.Proposer.
 func (s *Service) TakeOut(ctx context.Context, dataCentre string, takenOut bool) error {
-	return s.propose(ctx, TakeOut{DataCentre: dataCentre, TakenOut: takenOut})
+	if err := s.propose(ctx, TakeOut{DataCentre: dataCentre, TakenOut: takenOut}); err != nil {
+		return err
+	}
+	return s.awaitReplacement(ctx)
 }
 
 // Withdraw records that a backend server is about to stop. Errors are those of replicator.Proposer.
--- a/control/services/director/service_test.go
+++ b/control/services/director/service_test.go
@@ -43,7 +43,11 @@
 	return nil
 }
 
-func (r *replica) Status() replicator.Status { return r.status }
+func (r *replica) Status() replicator.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status
+}
 
 type fixture struct {
 	t       *testing.T
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -19,8 +19,21 @@
 	broadcastDue bool
 	heartbeatAt  int64
 	joins        map[storer.Identity]storer.Member
+	// joinsDueAt is the leader's clock until which replicas may stand by that have not asked this leader to join yet.
+	joinsDueAt int64
+	// replacementDueSince is the leader's clock since when the vote of a voter has to pass to another replica, or 0.
+	replacementDueSince int64
 }
 
+const (
+	// answerTimeDivisor divides the election timeout to give the time that voters have to answer a new leader before they
+	// count as silent.
+	answerTimeDivisor = 2
+	// longSilenceTimeouts is the number of election timeouts without a leader after which a new one cannot tell whether
+	// replicas stand by that joined nobody meanwhile.
+	longSilenceTimeouts = 3
+)
+
 func (m *Machine) startLeading() {
 	predecessor, silentSince := m.lastLeader, int64(m.lastLeaderContact.Sub(m.started))
 	m.role, m.leader, m.lastLeader, m.lastLeaderContact, m.caughtUpIndex = RoleLeader, m.id, m.id, m.now, 0
@@ -34,10 +47,19 @@
 	}
 	m.appendAsLeader(storer.EntryEmpty, nil)
 	m.leaderState.broadcastDue = true
-	// The silence of the earlier leader led to this election, so it counts from its last message.
-	if p := m.leaderState.progress[predecessor]; p != nil {
+	// Silence counts from the last message of the earlier leader, whose own silence led to this election. The others
+	// have some time to answer this leader.
+	answerDueSince := m.clock() - int64(m.replaceSilentAfter()-m.settings.ElectionTimeout/answerTimeDivisor)
+	for id, p := range m.leaderState.progress {
 		p.trackedAt = silentSince
+		if id != predecessor {
+			p.trackedAt = max(silentSince, answerDueSince)
+		}
+	}
+	if m.clock()-silentSince >= longSilenceTimeouts*int64(m.settings.ElectionTimeout) {
+		m.leaderState.joinsDueAt = m.clock() + (joinRetryHeartbeats+2)*int64(m.settings.Heartbeat)
 	}
+	m.updateReplacementDue()
 }
 
 // stepDown ends the leadership. The outcome of pending proposals is unknown.
@@ -140,4 +162,5 @@
 		return
 	}
 	m.adjustMembership()
+	m.updateReplacementDue()
 }
--- a/control/services/replicator/loss_order_test.go
+++ b/control/services/replicator/loss_order_test.go
@@ -25,6 +25,8 @@
 	node *node
 	// lostUntil is the time until which the VM counts as lost.
 	lostUntil time.Duration
+	// isCutOff reports that nothing reaches the VM and nothing comes from it.
+	isCutOff bool
 	// isBusy reports that the end of an earlier event is still to come.
 	isBusy bool
 }
@@ -140,6 +142,7 @@
 // run advances the time and ends the events that are due. A command is proposed every 100 ms.
 func (o *lossOrder) run(d time.Duration) {
 	for end := o.sim.now + d; o.sim.now < end && o.failure == ""; {
+		o.cutOff()
 		o.sim.run(tickPeriod)
 		due := o.due
 		o.due = nil
@@ -190,7 +193,7 @@
 		return
 	}
 	s := candidates[o.rng.IntN(len(candidates))]
-	switch o.rng.IntN(6) {
+	switch o.rng.IntN(8) {
 	case 0:
 		o.stop(s, "is asked to stop, to be replaced", func() { o.removeFor(s) })
 	case 1:
@@ -210,9 +213,51 @@
 		s.node.paused = true
 		o.lose(s, "is frozen", func() { o.sim.resume(s.node) })
 	case 5:
+		s.isCutOff = true
+		o.lose(s, "is cut off", func() { s.isCutOff = false })
+	case 6:
 		if lost < o.allowed {
 			o.replaceAhead(s)
 		}
+	case 7:
+		o.changeAllowed(3 - o.allowed)
+	}
+}
+
+// changeAllowed changes how many VMs may be lost. More may be lost only once all VMs have had time to catch up.
+func (o *lossOrder) changeAllowed(allowed int) {
+	voters := 2*allowed + 1
+	if o.sim.settings.MaxVoters != 2*o.allowed+1 || len(o.slots) < voters || len(o.lost()) > 0 && allowed < o.allowed {
+		return
+	}
+	o.sim.setVoterLimits(voters)
+	o.logf("%d may be lost from now on", allowed)
+	if allowed < o.allowed {
+		o.allowed = allowed
+		return
+	}
+	var raise func()
+	raise = func() {
+		if len(o.lost()) > 0 {
+			o.after(o.catchUp, raise)
+			return
+		}
+		o.allowed = allowed
+		o.logf("%d may be lost", allowed)
+	}
+	o.after(o.catchUp, raise)
+}
+
+// cutOff drops the messages of the VMs that are cut off.
+func (o *lossOrder) cutOff() {
+	clear(o.sim.cuts)
+	for _, s := range o.slots {
+		if !s.isCutOff {
+			continue
+		}
+		for _, n := range o.sim.nodes {
+			o.sim.cuts[[2]string{s.node.name, n.name}], o.sim.cuts[[2]string{n.name, s.node.name}] = true, true
+		}
 	}
 }
 
@@ -301,6 +346,7 @@
 	o.due = nil
 	isDark := o.rng.IntN(2) == 0
 	for _, s := range o.slots {
+		s.isCutOff = false
 		if s.node != nil && s.node.machine != nil && (isDark || o.isLost(s)) {
 			o.sim.kill(s.node)
 		}
@@ -352,6 +398,7 @@
 			}
 			require.Empty(t, o.failure)
 			o.finish(t)
+			t.Log("\n" + strings.Join(o.events, "\n"))
 			require.Empty(t, o.sim.violations)
 		})
 	}
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -250,11 +250,15 @@
 
 // isStaying reports whether a voter needs no replacement.
 func (m *Machine) isStaying(id storer.Identity) bool {
-	timeout := m.settings.ReplaceSilentAfter
-	if timeout <= 0 {
-		timeout = m.settings.RemoveSilentAfter
+	return !m.isLeaving(id) && m.hasRespondedWithin(id, m.replaceSilentAfter())
+}
+
+// replaceSilentAfter returns the silence after which the vote of a voter passes to another replica.
+func (m *Machine) replaceSilentAfter() time.Duration {
+	if m.settings.ReplaceSilentAfter > 0 {
+		return m.settings.ReplaceSilentAfter
 	}
-	return !m.isLeaving(id) && m.hasRespondedWithin(id, timeout)
+	return m.settings.RemoveSilentAfter
 }
 
 func (m *Machine) countActiveVoters() int {
--- a/control/services/replicator/proposer.go
+++ b/control/services/replicator/proposer.go
@@ -78,6 +78,10 @@
 	// IsHandoverDue reports that a planned stop should wait: this replica leads, or it is one of
 	// the voters of an open membership and another replica could vote in its place.
 	IsHandoverDue bool
+	// IsReplacementPending reports on the leader that the vote of a voter which is gone, silent or about to stop is still to
+	// pass to another replica. A change should be acknowledged only afterwards: until then it may not survive all losses
+	// that the settings allow.
+	IsReplacementPending bool
 	// Failed is the error that stopped this replica, or nil.
 	Failed error
 }
@@ -93,7 +97,7 @@
 	s := Status{
 		Name: m.settings.Name, ID: m.id, Role: m.role, Term: m.term, Verified: m.verification.done,
 		CaughtUpIndex: m.caughtUpIndex, CommitIndex: m.commitIndex, LastIndex: m.log.last(), Membership: m.membership(),
-		IsHandoverDue: m.isHandoverDue(),
+		IsHandoverDue: m.isHandoverDue(), IsReplacementPending: m.isReplacementPending(),
 	}
 	if m.snapshot != nil {
 		s.SnapshotIndex = m.snapshot.Index
--- /dev/null
+++ b/control/services/replicator/replacement_test.go
@@ -0,0 +1,92 @@
+package replicator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cutAll drops all messages until the returned function is called.
+func (sim *simulation) cutAll() (heal func()) {
+	for _, from := range sim.nodes {
+		for _, to := range sim.nodes {
+			sim.cuts[[2]string{from.name, to.name}] = true
+		}
+	}
+	return func() { clear(sim.cuts) }
+}
+
+// commitAcknowledged commits a command, waits until it may be acknowledged, and returns its index.
+func (sim *simulation) commitAcknowledged(t *testing.T) uint64 {
+	t.Helper()
+	for end := sim.now + 20*time.Second; sim.now < end; sim.run(tickPeriod) {
+		lead := sim.leader()
+		if lead == nil || !lead.machine.Status().HasQuorum {
+			continue
+		}
+		index := lead.machine.log.last() + 1
+		sim.step(lead, Propose{Now: sim.clock(lead), ID: 1 << 40, Command: []byte(`{}`)})
+		for ; sim.now < end && sim.leader() == lead; sim.run(tickPeriod) {
+			if status := lead.machine.Status(); status.CommitIndex >= index && !status.IsReplacementPending {
+				return index
+			}
+		}
+	}
+	require.FailNow(t, "nothing is acknowledged", sim.describe())
+	return 0
+}
+
+// Guards against changes that are acknowledged and lost although no more disks are lost than allowed: a replica is gone for
+// good, and its successor gets no vote in time, as there is no leader for longer than it needs to catch up.
+func TestChangeIsAcknowledgedOnceSuccessorVotes(t *testing.T) {
+	t.Parallel()
+	for name, isLeaderGone := range map[string]bool{"the leader is gone": true, "a follower is gone": false} {
+		for other := range 3 {
+			t.Run(fmt.Sprintf("%s, disk %d", name, other), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(20) {
+					sim := newVotingSimulation(t, seed, 5, 5)
+					gone := sim.leader()
+					if !isLeaderGone {
+						gone = follower(sim)
+					}
+					sim.replace(gone)
+					dark := sim.nodes[0]
+					sim.kill(dark)
+					heal := sim.cutAll()
+					sim.run(8 * time.Second)
+					heal()
+					index := sim.commitAcknowledged(t)
+					wiped := sim.nodes[1+other]
+					sim.kill(wiped)
+					remaining := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == dark || n == wiped })
+					require.True(t, canElect(remaining, index), "seed %d: %s", seed, sim.describe())
+				}
+			})
+		}
+	}
+}
+
+// Guards against changes that are never acknowledged, as a replica stands by that cannot get a vote.
+func TestReplicaThatCannotCatchUpDelaysNoAcknowledgementForEver(t *testing.T) {
+	t.Parallel()
+	sim := newVotingSimulation(t, 1, 3, 3)
+	sim.replace(follower(sim))
+	successor := sim.nodes[len(sim.nodes)-1]
+	for _, n := range sim.nodes {
+		sim.cuts[[2]string{successor.name, n.name}] = n != sim.leader()
+	}
+	sim.saveTime = func(n *node) time.Duration {
+		if n == successor {
+			return time.Minute
+		}
+		return 0
+	}
+	sim.run(2 * time.Second)
+	began := sim.now
+	sim.commitAcknowledged(t)
+	require.Less(t, sim.now-began, 15*time.Second)
+}
