Elect a leader sooner while all disks are slow

Each VM has to store its vote in the same term.

Cause: a candidate asked for votes only once its own was stored, so that two saves followed each other. And a voter whose vote was stored, and which had waited for its disk until then, stood for election itself at once, while others still stored theirs.

Change: requests for votes do not wait for the own vote, if the log is stored: the own vote counts once it is, and a log that is shorter after a restart is not voted for. A voter waits a whole election timeout from the moment its vote is stored.

TestLeaderIsElectedByBareMajorityWithSlowDisks failed before.

--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -57,14 +57,23 @@
 		m.setTerm(term, m.id)
 		m.counts.Elections++
 	}
-	for _, member := range m.membership().Members {
-		if m.membership().IsVoter(member.ID) && member.ID != m.id {
-			m.sendTo(member, &VoteRequest{
-				PreVote: preVote, Term: term, LastIndex: m.log.last(), LastTerm: m.log.lastTerm(), LeadershipTransfer: leadershipTransfer,
-			})
+	m.requestVotes(VoteRequest{
+		PreVote: preVote, Term: term, LastIndex: m.log.last(), LastTerm: m.log.lastTerm(), LeadershipTransfer: leadershipTransfer,
+	})
+	m.countVotes()
+}
+
+// requestVotes asks all other voters for their votes. The requests do not wait until the own vote is durable, which counts
+// only then, so that all voters store theirs at the same time. A log that is not durable may be shorter after a restart,
+// and late votes for it must not elect this replica then.
+func (m *Machine) requestVotes(req VoteRequest) {
+	for _, member := range m.otherVoters() {
+		if m.saving.stored.index == m.log.last() {
+			m.sendEarly(member, &req)
+		} else {
+			m.sendTo(member, &req)
 		}
 	}
-	m.countVotes()
 }
 
 // maxCandidacyTimeouts bounds the election timeouts for which a candidate waits for votes after failed candidacies. A
--- a/control/services/replicator/saving.go
+++ b/control/services/replicator/saving.go
@@ -65,13 +65,17 @@
 	switch m.role {
 	case RoleCandidate:
 		if before.term < m.term && m.isTermStored() {
-			// The requests for votes are sent only now.
 			m.scheduleCandidacy()
 			m.countVotes()
 		}
 	case RoleLeader:
 		m.leaderState.broadcastDue = m.leaderState.broadcastDue || m.saving.stored.index > before.index
 		m.advanceCommit()
-	case RoleFollower, RolePreCandidate:
+	case RoleFollower:
+		if before.term < m.term && m.isTermStored() && !m.hasLeader() {
+			// The vote is sent only now. The candidate waits for those of replicas with slower disks.
+			m.resetElection()
+		}
+	case RolePreCandidate:
 	}
 }
--- a/control/services/replicator/saving_test.go
+++ b/control/services/replicator/saving_test.go
@@ -217,6 +217,26 @@
 	}
 }
 
+// Guards against voters with slow disks that compete for so long that nobody is elected: of five, two are lost, so that
+// all others have to store their votes in the same term.
+func TestLeaderIsElectedByBareMajorityWithSlowDisks(t *testing.T) {
+	t.Parallel()
+	const recovery = 15 * time.Second
+	for seed := range uint64(30) {
+		sim := newVotingSimulation(t, seed, 5, 5)
+		sim.saveTime = func(*node) time.Duration {
+			return 400*time.Millisecond + time.Duration(sim.rng.Int64N(int64(1200*time.Millisecond)))
+		}
+		sim.kill(sim.leader())
+		sim.kill(sim.running()[0])
+		lost := sim.now
+		for sim.leader() == nil || sim.leader().machine.commitIndex < sim.leader().machine.termStart() {
+			require.Less(t, sim.now-lost, recovery, "seed %d: %s", seed, sim.describe())
+			sim.run(tickPeriod)
+		}
+	}
+}
+
 // Guards against a follower with a disk that has stopped, that still counts as active or collects messages without end.
 func TestStoppedDiskSilencesFollower(t *testing.T) {
 	t.Parallel()
