Let a standby that stops wait until it cannot become a voter

Cause: a replica without a vote, as far as its log says, ended at once, while the leader had appended the membership in which it votes.

Change: the leader answers a request to leave with the index of its newest membership. A replica that stands by waits for that answer and for that membership, and stays until its vote has passed on if it has one in it. Without a leader, or as no member, it ends at once.

--- a/control/services/replicator/leadership_transfer.go
+++ b/control/services/replicator/leadership_transfer.go
@@ -77,11 +77,21 @@
 	if !m.settings.OpenMembership {
 		return false
 	}
-	return slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool {
+	return m.mayBecomeVoter() || slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool {
 		return at.membership.IsVoter(m.id) && (at.membership.Voters() < len(at.membership.Members) || at.membership.Voters() > m.settings.MinVoters)
 	})
 }
 
+// mayBecomeVoter reports whether the leader may have let this replica vote without its knowledge: it has not confirmed
+// that this one leaves, or this one has not got its last membership.
+func (m *Machine) mayBecomeVoter() bool {
+	if _, ok := m.membership().Get(m.id); !ok || m.membership().IsVoter(m.id) || !m.hasLeader() {
+		return false
+	}
+	isConfirmed := m.leaveNoted.Term == m.term && m.now.Sub(m.leaveNotedAt) < m.settings.ElectionTimeout
+	return !isConfirmed || m.membershipIndex() < m.leaveNoted.MembershipIndex
+}
+
 // requestLeave asks the leader to let another replica vote in place of this one, or not to let this one vote.
 func (m *Machine) requestLeave() {
 	if leader, ok := m.membership().Get(m.leader); ok && m.settings.OpenMembership && m.hasLeader() {
@@ -101,5 +111,12 @@
 	}
 	if p := m.leaderState.progress[from]; p != nil && p.session == req.Session {
 		p.leavingUntil = m.clock() + leaveElectionTimeouts*int64(m.settings.ElectionTimeout)
+		m.sendEarly(m.recipient(from), &LeaveResponse{Session: req.Session, Term: m.term, MembershipIndex: m.membershipIndex()})
+	}
+}
+
+func (m *Machine) handleLeaveResponse(from storer.Identity, resp *LeaveResponse) {
+	if resp.Session == m.session && from == m.leader {
+		m.leaveNoted, m.leaveNotedAt = *resp, m.now
 	}
 }
--- a/control/services/replicator/loss_order_test.go
+++ b/control/services/replicator/loss_order_test.go
@@ -238,7 +238,8 @@
 	}
 	var raise func()
 	raise = func() {
-		if len(o.lost()) > 0 {
+		isBusy := slices.ContainsFunc(o.slots, func(s *slot) bool { return s.isBusy })
+		if isBusy || len(o.lost()) > 0 || len(o.slots) < voters {
 			o.after(o.catchUp, raise)
 			return
 		}
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -64,6 +64,9 @@
 	votes         map[storer.Identity]bool
 	// resignUntil is the end of the last request to resign. After it the replica leads and votes like any other.
 	resignUntil time.Time
+	// leaveNoted is the newest response of a leader to a request to leave, and leaveNotedAt when it came.
+	leaveNoted   LeaveResponse
+	leaveNotedAt time.Time
 	// electionDeferrals counts how often this replica deferred its own election since its last
 	// contact with a leader.
 	electionDeferrals int
--- a/control/services/replicator/message.go
+++ b/control/services/replicator/message.go
@@ -26,6 +26,7 @@
 	KindJoinResponse     Kind = 10
 	KindTimeoutNow       Kind = 11
 	KindLeaveRequest     Kind = 12
+	KindLeaveResponse    Kind = 13
 )
 
 // Message is implemented by the message types of this package.
@@ -183,7 +184,7 @@
 }
 
 // LeaveRequest asks the leader to let another replica vote in place of the sender, which is about
-// to stop as planned. There is no response: the sender learns the new membership from its log.
+// to stop as planned, or not to let the sender vote.
 type LeaveRequest struct {
 	sealedMessage
 	_ struct{} `cbor:",toarray"`
@@ -191,6 +192,17 @@
 	Session uint64
 }
 
+// LeaveResponse reports that the leader lets the receiver vote in no membership after the one at MembershipIndex. The
+// receiver learns from its log whether it votes in that one.
+type LeaveResponse struct {
+	sealedMessage
+	_ struct{} `cbor:",toarray"`
+	// Session is that of the request.
+	Session         uint64
+	Term            uint64
+	MembershipIndex uint64
+}
+
 // Kind returns KindVoteRequest.
 func (*VoteRequest) Kind() Kind { return KindVoteRequest }
 
@@ -227,6 +239,9 @@
 // Kind returns KindLeaveRequest.
 func (*LeaveRequest) Kind() Kind { return KindLeaveRequest }
 
+// Kind returns KindLeaveResponse.
+func (*LeaveResponse) Kind() Kind { return KindLeaveResponse }
+
 // Envelope carries a message from one replica to another.
 type Envelope struct {
 	// Cluster is zero while the sender belongs to no cluster.
@@ -317,6 +332,8 @@
 		return &TimeoutNow{}, nil
 	case KindLeaveRequest:
 		return &LeaveRequest{}, nil
+	case KindLeaveResponse:
+		return &LeaveResponse{}, nil
 	default:
 		return nil, ErrKindNotExist{Kind: kind}
 	}
--- a/control/services/replicator/messaging.go
+++ b/control/services/replicator/messaging.go
@@ -45,6 +45,8 @@
 		m.handleTimeoutNow(env.From, msg)
 	case *LeaveRequest:
 		m.handleLeaveRequest(env.From, msg)
+	case *LeaveResponse:
+		m.handleLeaveResponse(env.From, msg)
 	}
 }
 
--- a/control/services/replicator/planned_stop_test.go
+++ b/control/services/replicator/planned_stop_test.go
@@ -134,3 +134,24 @@
 	sim.run(catchUp)
 	sim.requireMajority(t, index)
 }
+
+// Guards against a replica that ends with a vote, as it was asked to stop before it knew that it votes.
+func TestStandbyThatBecomesVoterWaitsForReplacement(t *testing.T) {
+	t.Parallel()
+	for wait := time.Duration(0); wait <= time.Second; wait += tickPeriod {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			sim := newVotingSimulation(t, uint64(wait), 5, 3)
+			sim.useSlowDisks(400 * time.Millisecond)
+			// The one that stops takes the vote of the one that is gone, if it is asked late enough.
+			gone, stopped := follower(sim), findNode(sim, false, nil)
+			sim.kill(gone)
+			sim.run(time.Second + wait)
+			r := &replacement{sim: sim, stopped: stopped, lossAt: never}
+			r.stop()
+			lead := sim.leader()
+			require.NotNil(t, lead, sim.describe())
+			require.False(t, lead.machine.membership().IsVoter(stopped.disk.id), sim.describe())
+		})
+	}
+}
--- a/control/services/replicator/validation.go
+++ b/control/services/replicator/validation.go
@@ -33,6 +33,8 @@
 		return true
 	case *VerifyResponse:
 		return areInRange(msg.Term, msg.LastIndex, msg.LastTerm, msg.MembershipIndex)
+	case *LeaveResponse:
+		return areInRange(msg.Term, msg.MembershipIndex)
 	case *TimeoutNow:
 		return areInRange(msg.Term)
 	default:
