Log the replicas whose votes are passing to others

Cause: the log line of a membership named voters and standbys; while a vote passes by a joint membership a majority of those before is needed as well, and the end of it was not logged.

Change: the line has the outgoing voters and is also written when a membership is settled. No change of behaviour.

--- a/control/services/driver/status.go
+++ b/control/services/driver/status.go
@@ -20,24 +20,28 @@
 	if before.Verified != status.Verified {
 		d.options.Logger.Info("replica verification", "verified", status.Verified)
 	}
-	if !slices.Equal(before.Membership.Members, status.Membership.Members) {
-		voters, standbys := namesByVote(status.Membership)
-		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", voters, "standbys", standbys)
+	if !slices.Equal(before.Membership.Members, status.Membership.Members) || before.Membership.IsJoint() != status.Membership.IsJoint() {
+		voters, outgoing, standbys := namesByVote(status.Membership)
+		d.options.Logger.Info("replica membership", "members", len(status.Membership.Members), "voters", voters, "outgoing", outgoing, "standbys", standbys)
 	}
 	d.logCurrent()
 	d.logCommitWait(status)
 }
 
-// namesByVote returns the names of the members that vote and of those that do not.
-func namesByVote(membership storer.Membership) (voters, standbys []string) {
+// namesByVote returns the names of the members that vote, of those whose votes are passing to others, and of those that do
+// not vote.
+func namesByVote(membership storer.Membership) (voters, outgoing, standbys []string) {
 	for _, member := range membership.Members {
-		if member.Voter {
+		switch {
+		case member.Voter:
 			voters = append(voters, member.Name)
-		} else {
+		case membership.IsVoter(member.ID):
+			outgoing = append(outgoing, member.Name)
+		default:
 			standbys = append(standbys, member.Name)
 		}
 	}
-	return voters, standbys
+	return voters, outgoing, standbys
 }
 
 // logCurrent logs when this replica becomes current or stops being current.
