Keep the code of vote passing in one file

A silence limit below the time to answer, which the programs do not set, no longer counts silence from the future. Otherwise no change of behaviour.

--- a/control/services/replicator/joining.go
+++ b/control/services/replicator/joining.go
@@ -53,7 +53,7 @@
 			m.sendTo(storer.Member{Name: member.Name, Address: member.Address}, req)
 		}
 	}
-	for address := range m.earlierContacts {
+	for _, address := range m.earlierContacts {
 		if !m.isPeer(address) {
 			m.sendTo(storer.Member{Address: address}, req)
 		}
@@ -64,8 +64,8 @@
 // noteEarlierContact remembers the sender of a message to another identity at this address: a replica of the cluster to
 // which this one belonged before it lost its disk. All peers in the settings may be lost at that time.
 func (m *Machine) noteEarlierContact(env Envelope) {
-	if m.isUnbootstrapped() && env.Address != m.settings.Address && len(m.earlierContacts) < maxAddresses {
-		m.earlierContacts[env.Address] = true
+	if m.isUnbootstrapped() && env.Address != m.settings.Address && len(m.earlierContacts) < maxAddresses && !slices.Contains(m.earlierContacts, env.Address) {
+		m.earlierContacts = append(m.earlierContacts, env.Address)
 	}
 }
 
--- a/control/services/replicator/leading.go
+++ b/control/services/replicator/leading.go
@@ -47,9 +47,15 @@
 	}
 	m.appendAsLeader(storer.EntryEmpty, nil)
 	m.leaderState.broadcastDue = true
-	// Silence counts from the last message of the earlier leader, whose own silence led to this election. The others
-	// have some time to answer this leader.
-	answerDueSince := m.clock() - int64(m.replaceSilentAfter()-m.settings.ElectionTimeout/answerTimeDivisor)
+	m.countSilence(predecessor, silentSince)
+	m.updateReplacementDue()
+}
+
+// countSilence counts the silence of all replicas from the last message of the leader before, whose own silence led to this
+// election. The others have some time to answer this leader.
+func (m *Machine) countSilence(predecessor storer.Identity, silentSince int64) {
+	timeToAnswer := m.settings.ElectionTimeout / answerTimeDivisor
+	answerDueSince := m.clock() - max(0, int64(m.replaceSilentAfter()-timeToAnswer))
 	for id, p := range m.leaderState.progress {
 		p.trackedAt = silentSince
 		if id != predecessor {
@@ -59,7 +65,6 @@
 	if m.clock()-silentSince >= longSilenceTimeouts*int64(m.settings.ElectionTimeout) {
 		m.leaderState.joinsDueAt = m.clock() + (joinRetryHeartbeats+2)*int64(m.settings.Heartbeat)
 	}
-	m.updateReplacementDue()
 }
 
 // stepDown ends the leadership. The outcome of pending proposals is unknown.
--- a/control/services/replicator/machine.go
+++ b/control/services/replicator/machine.go
@@ -81,7 +81,7 @@
 	// the membership.
 	addresses map[storer.Identity]netip.AddrPort
 	// earlierContacts has the addresses of replicas that still know an earlier identity of this one.
-	earlierContacts map[netip.AddrPort]bool
+	earlierContacts []netip.AddrPort
 	incoming        incomingSnapshot
 	leaderState     *leaderState
 }
@@ -98,7 +98,7 @@
 		majority: func(n int) int { return n/2 + 1 },
 		term:     state.Vote.Term, vote: state.Vote.Candidate, log: log, snapshot: state.Snapshot,
 		memberships: []indexedMembership{{}}, role: RoleFollower,
-		addresses: make(map[storer.Identity]netip.AddrPort), earlierContacts: make(map[netip.AddrPort]bool), joinState: joinState{unbootstrapped: make(map[string]bool)},
+		addresses: make(map[storer.Identity]netip.AddrPort), joinState: joinState{unbootstrapped: make(map[string]bool)},
 	}
 	m.saving.stored = storedState{term: m.term, index: log.last()}
 	if s := state.Snapshot; s != nil {
--- a/control/services/replicator/replacement.go
+++ b/control/services/replicator/replacement.go
@@ -10,6 +10,74 @@
 // longer, as the replica that stands by may never catch up.
 const maxReplacementTimeouts = 10
 
+// promoteNonVoter gives at most one replica that has caught up the vote of its earlier identity, or a vote of its own, or,
+// if MaxVoters vote, that of a voter that does not stay. Those that joined first come first: the last one may be the
+// successor of a voter that is gone, and would have a second vote beside it in place of another one.
+func (m *Machine) promoteNonVoter() bool {
+	membership := m.membership()
+	for _, member := range membership.Members {
+		if member.Voter || !m.isActive(member.ID) || m.isLeaving(member.ID) || m.leaderState.progress[member.ID].matchIndex+maxLag < m.log.last() {
+			continue
+		}
+		replaced, ok := m.voterNamed(member.Name)
+		isFull := m.settings.MaxVoters > 0 && membership.Voters() >= m.settings.MaxVoters
+		if !ok && isFull {
+			replaced, ok = m.voterToReplace()
+		}
+		switch {
+		case ok:
+			m.changeMembership(membership.WithVotePassed(replaced, member))
+			return true
+		case !isFull:
+			member.Voter = true
+			m.changeMembership(membership.With(member))
+			return true
+		}
+	}
+	return false
+}
+
+// voterNamed returns the voter with the name. A non-voter of that name is the same replica after it has lost its disk.
+func (m *Machine) voterNamed(name string) (storer.Member, bool) {
+	members := m.membership().Members
+	i := slices.IndexFunc(members, func(member storer.Member) bool { return member.Voter && member.Name == name })
+	if i < 0 {
+		return storer.Member{}, false
+	}
+	return members[i], true
+}
+
+// voterToReplace returns the voter whose vote another replica should get, if there is one: one that leaves, or else the
+// one that has been silent for longest. That one is most likely gone for good.
+func (m *Machine) voterToReplace() (storer.Member, bool) {
+	var replaced storer.Member
+	for _, member := range m.membership().Members {
+		switch {
+		case !member.Voter || m.isStaying(member.ID):
+		case m.isLeaving(member.ID):
+			return member, true
+		case !replaced.Voter || m.lastHeardAt(member.ID) < m.lastHeardAt(replaced.ID):
+			replaced = member
+		}
+	}
+	return replaced, replaced.Voter
+}
+
+// completeVotePassing ends a joint membership. The earlier identity of a replica that has lost its disk stops being a
+// member.
+func (m *Machine) completeVotePassing() {
+	membership := m.membership().WithoutOutgoing()
+	for _, member := range membership.Members {
+		hasSuccessor := slices.ContainsFunc(membership.Members, func(other storer.Member) bool {
+			return other.Name == member.Name && other.ID != member.ID && (other.Voter || m.isActive(other.ID))
+		})
+		if hasSuccessor && !member.Voter && !m.isActive(member.ID) {
+			membership = membership.Without(member.ID)
+		}
+	}
+	m.changeMembership(membership)
+}
+
 // updateReplacementDue notes whether the vote of a voter has to pass to another replica.
 func (m *Machine) updateReplacementDue() {
 	l := m.leaderState
