--- a/control/services/replicator/loss_order_test.go
+++ b/control/services/replicator/loss_order_test.go
@@ -43,8 +43,24 @@
 	due     []dueEvent
 	events  []string
 	failure string
+	// gap returns the time between the beginning and the end of an event.
+	gap func() time.Duration
 }
 
+// lossKind is a kind of event.
+type lossKind int
+
+const (
+	stopForGood lossKind = iota
+	killForGood
+	losePower
+	loseDisk
+	freeze
+	cutOff
+	replaceAhead
+	lossKinds
+)
+
 // dueEvent is the end of an event that has begun.
 type dueEvent struct {
 	at  time.Duration
@@ -61,6 +77,7 @@
 	for _, n := range sim.nodes {
 		o.slots = append(o.slots, &slot{node: n})
 	}
+	o.gap = o.drawGap
 	sim.onSaved = o.check
 	return o
 }
@@ -142,7 +159,7 @@
 // run advances the time and ends the events that are due. A command is proposed every 100 ms.
 func (o *lossOrder) run(d time.Duration) {
 	for end := o.sim.now + d; o.sim.now < end && o.failure == ""; {
-		o.cutOff()
+		o.dropMessages()
 		o.sim.run(tickPeriod)
 		due := o.due
 		o.due = nil
@@ -167,8 +184,8 @@
 	o.events = append(o.events, fmt.Sprintf("%8.2f s  %s (lost: %d)", o.sim.now.Seconds(), fmt.Sprintf(format, args...), len(o.lost())))
 }
 
-// gap draws a time from 20 ms to 9 s, short ones as often as long ones.
-func (o *lossOrder) gap() time.Duration {
+// drawGap draws a time from 20 ms to 9 s, short ones as often as long ones.
+func (o *lossOrder) drawGap() time.Duration {
 	return time.Duration(float64(20*time.Millisecond) * math.Pow(450, o.rng.Float64())).Round(tickPeriod)
 }
 
@@ -185,42 +202,51 @@
 
 // inject begins one drawn event, or none if no VM may be lost.
 func (o *lossOrder) inject() {
-	lost := len(o.lost())
-	candidates := slices.DeleteFunc(slices.Clone(o.slots), func(s *slot) bool {
-		return s.isBusy || lost >= o.allowed && !o.isLost(s)
-	})
+	candidates := slices.DeleteFunc(slices.Clone(o.slots), func(s *slot) bool { return !o.mayLose(s) })
 	if len(candidates) == 0 {
 		return
 	}
 	s := candidates[o.rng.IntN(len(candidates))]
-	switch o.rng.IntN(8) {
-	case 0:
+	if kind := lossKind(o.rng.IntN(int(lossKinds) + 1)); kind < lossKinds {
+		o.begin(kind, s)
+	} else {
+		o.changeAllowed(3 - o.allowed)
+	}
+}
+
+// mayLose reports whether an event may begin at a slot.
+func (o *lossOrder) mayLose(s *slot) bool {
+	return !s.isBusy && (len(o.lost()) < o.allowed || o.isLost(s))
+}
+
+// begin begins an event at a slot.
+func (o *lossOrder) begin(kind lossKind, s *slot) {
+	switch kind {
+	case stopForGood:
 		o.stop(s, "is asked to stop, to be replaced", func() { o.removeFor(s) })
-	case 1:
+	case killForGood:
 		o.sim.kill(s.node)
 		o.lose(s, "is gone for good", func() { o.replace(s) })
-	case 2:
+	case losePower:
 		o.sim.kill(s.node)
 		o.lose(s, "has no power", func() { o.startNode(s.node) })
-	case 3:
+	case loseDisk:
 		o.sim.kill(s.node)
 		s.node.disk = &disk{}
 		o.lose(s, "loses its disk", func() {
 			s.node.disk = nil
 			o.startNode(s.node)
 		})
-	case 4:
+	case freeze:
 		s.node.paused = true
 		o.lose(s, "is frozen", func() { o.sim.resume(s.node) })
-	case 5:
+	case cutOff:
 		s.isCutOff = true
 		o.lose(s, "is cut off", func() { s.isCutOff = false })
-	case 6:
-		if lost < o.allowed {
+	case replaceAhead:
+		if len(o.lost()) < o.allowed {
 			o.replaceAhead(s)
 		}
-	case 7:
-		o.changeAllowed(3 - o.allowed)
 	}
 }
 
@@ -249,8 +275,8 @@
 	o.after(o.catchUp, raise)
 }
 
-// cutOff drops the messages of the VMs that are cut off.
-func (o *lossOrder) cutOff() {
+// dropMessages drops the messages of the VMs that are cut off.
+func (o *lossOrder) dropMessages() {
 	clear(o.sim.cuts)
 	for _, s := range o.slots {
 		if !s.isCutOff {
@@ -395,7 +421,7 @@
 			}
 			for range 12 {
 				o.inject()
-				o.run(o.gap())
+				o.run(o.drawGap())
 			}
 			require.Empty(t, o.failure)
 			o.finish(t)
