Count a replica that has just joined as standing by until it is removed

The log of the leader: "acknowledgement waited until a replica was replaced as a voter", waited 640 ms, although no vote had passed.

Cause: the leader waits with acknowledgements while a voter is silent and a replica stands by. The one that had joined 0.95 s before had not answered yet, as its first save took 1.3 s, and a replica counted as standing by for one election timeout (0.9 s).

Change: it counts until it is removed, 3.5 s after it was heard last.

Evidence: TestChangeIsAcknowledgedOnceSuccessorVotes with a successor whose saves take 1.3 s or 1.7 s failed in 6 of 6 cases before, in none after.

--- a/control/services/replicator/replacement.go
+++ b/control/services/replicator/replacement.go
@@ -107,10 +107,11 @@
 	return !slices.ContainsFunc(m.membership().Members, func(member storer.Member) bool { return member.Voter && !condition(member.ID) })
 }
 
-// hasStandby reports whether a replica stands by that may get a vote.
+// hasStandby reports whether a replica stands by that may get a vote. One that has just joined answers only once its disk
+// has stored what it got, so that it counts until it is removed.
 func (m *Machine) hasStandby() bool {
 	return slices.ContainsFunc(m.membership().Members, func(member storer.Member) bool {
-		return !member.Voter && !m.isLeaving(member.ID) && m.hasRespondedWithin(member.ID, m.settings.ElectionTimeout)
+		return !member.Voter && !m.isLeaving(member.ID) && m.isReachable(member.ID)
 	})
 }
 
--- a/control/services/replicator/replacement_test.go
+++ b/control/services/replicator/replacement_test.go
@@ -43,18 +43,33 @@
 // good, and its successor gets no vote in time, as there is no leader for longer than it needs to catch up.
 func TestChangeIsAcknowledgedOnceSuccessorVotes(t *testing.T) {
 	t.Parallel()
-	for name, isLeaderGone := range map[string]bool{"the leader is gone": true, "a follower is gone": false} {
+	for name, c := range map[string]struct {
+		isLeaderGone bool
+		// saveTime is that of the successor, which answers nothing before its first save.
+		saveTime time.Duration
+	}{
+		"the leader is gone":                      {isLeaderGone: true},
+		"a follower is gone":                      {},
+		"the leader is gone, slow successor":      {isLeaderGone: true, saveTime: 1300 * time.Millisecond},
+		"a follower is gone, very slow successor": {saveTime: 1700 * time.Millisecond},
+	} {
 		for other := range 3 {
 			t.Run(fmt.Sprintf("%s, disk %d", name, other), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(20) {
 					sim := newVotingSimulation(t, seed, 5, 5)
 					gone := sim.leader()
-					if !isLeaderGone {
+					if !c.isLeaderGone {
 						gone = follower(sim)
 					}
 					sim.replace(gone)
-					dark := sim.nodes[0]
+					dark, successor := sim.nodes[0], sim.nodes[len(sim.nodes)-1]
+					sim.saveTime = func(n *node) time.Duration {
+						if n == successor {
+							return c.saveTime
+						}
+						return 0
+					}
 					sim.kill(dark)
 					heal := sim.cutAll()
 					sim.run(8 * time.Second)
