Skip orders of losses that cannot begin

Cause: TestShortLossOrders prepared 1,568 orders to play 259, which takes long with the race detector beside load.

Change: orders whose first VM is lost already or stands by where all vote, and, where one may be lost, those whose second VM is not the lost one, are left out before they are prepared. 245 are played; the other 14 had the lost VM as leader, and are played as the lost one.

--- a/control/services/replicator/loss_enumeration_test.go
+++ b/control/services/replicator/loss_enumeration_test.go
@@ -81,9 +81,16 @@
 		allowed := 1 + (size-3)/2
 		for kind := range lossKinds {
 			for target := range lossTargets {
+				// No VM is lost at the beginning, and none stands by if all vote.
+				if target == lostTarget || target == standbyTarget && size == 2*allowed+1 {
+					continue
+				}
 				t.Run(fmt.Sprintf("%d replicas, %d, %d", size, kind, target), func(t *testing.T) {
 					t.Parallel()
 					forEachStep(func(second lossStep) {
+						if allowed == 1 && second.target != lostTarget {
+							return // the first VM is lost
+						}
 						steps := []lossStep{{kind, target}, second}
 						for _, gap := range times {
 							for _, length := range times {
