--- a/control/models/storer/membership.go
+++ b/control/models/storer/membership.go
@@ -153,12 +153,12 @@
 	return c
 }
 
-// WithVotePassed returns a joint copy in which the vote of one member has passed to another one.
-func (m Membership) WithVotePassed(from, to Member) Membership {
-	outgoing := m.voters()
-	from.Voter, to.Voter = false, true
-	c := m.With(from).With(to)
-	c.Outgoing = outgoing
+// WithVoterReplaced returns a joint copy in which one member votes in place of another one.
+func (m Membership) WithVoterReplaced(replaced, successor Member) Membership {
+	voters := m.voters()
+	replaced.Voter, successor.Voter = false, true
+	c := m.With(replaced).With(successor)
+	c.Outgoing = voters
 	return c
 }
 
--- a/control/models/storer/membership_test.go
+++ b/control/models/storer/membership_test.go
@@ -36,7 +36,7 @@
 func TestJointMembershipNeedsBothMajorities(t *testing.T) {
 	t.Parallel()
 	before := newMembership(3)
-	joint := before.WithVotePassed(before.Members[2], before.Members[3])
+	joint := before.WithVoterReplaced(before.Members[2], before.Members[3])
 	requireMajority(t, before, true, 2, 3)
 	requireMajority(t, joint, false, 2, 3)
 	requireMajority(t, joint, false, 2, 4)
@@ -65,7 +65,7 @@
 	require.NoError(t, err)
 	require.Equal(t, earlier, data)
 	for name, membership := range map[string]Membership{
-		"empty": {}, "settled": settled, "joint": settled.WithVotePassed(settled.Members[0], settled.Members[3]),
+		"empty": {}, "settled": settled, "joint": settled.WithVoterReplaced(settled.Members[0], settled.Members[3]),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/control/services/replicator/election.go
+++ b/control/services/replicator/election.go
@@ -34,7 +34,7 @@
 // requested the election.
 func (m *Machine) startElection(preVote, leadershipTransfer bool) {
 	m.resetElection()
-	if !m.mayVote() || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
+	if !m.mayStandForElection() || !m.verification.done || !m.isUpToDate(m.log.last(), m.log.lastTerm()) {
 		return
 	}
 	if m.role == RoleCandidate {
--- a/control/services/replicator/loss_order_test.go
+++ b/control/services/replicator/loss_order_test.go
@@ -142,12 +142,12 @@
 	return slices.ContainsFunc(replicas, func(candidate *node) bool {
 		index, term := candidate.disk.end()
 		memberships := candidate.disk.memberships()
-		mayVote := false
+		mayStand := false
 		for i, at := range memberships {
 			isReplaced := i+1 < len(memberships) && memberships[i+1].index <= committed
-			mayVote = mayVote || !isReplaced && at.membership.IsVoter(candidate.disk.id)
+			mayStand = mayStand || !isReplaced && at.membership.IsVoter(candidate.disk.id)
 		}
-		return index >= committed && mayVote && memberships[len(memberships)-1].membership.HasMajority(majorityOf, func(id storer.Identity) bool {
+		return index >= committed && mayStand && memberships[len(memberships)-1].membership.HasMajority(majorityOf, func(id storer.Identity) bool {
 			return slices.ContainsFunc(replicas, func(voter *node) bool {
 				voterIndex, voterTerm := voter.disk.end()
 				return voter.disk.id == id && !isBehind(index, term, voterIndex, voterTerm)
--- a/control/services/replicator/membership.go
+++ b/control/services/replicator/membership.go
@@ -42,7 +42,7 @@
 	switch {
 	case !m.isMembershipCommitted():
 	case m.membership().IsJoint():
-		m.completeVotePassing()
+		m.leaveJointMembership()
 	case m.admitJoiningReplica() || m.promoteNonVoter() || m.demoteSilentVoter() || m.removeSilentReplica():
 	default:
 		m.demoteSurplusVoter()
@@ -282,9 +282,9 @@
 	return m.memberships[first:]
 }
 
-// mayVote reports whether this replica is a voter of a membership that may be in force. One that has stored the membership
-// without its vote, which the other voters have not, can still be needed as the leader that commits it.
-func (m *Machine) mayVote() bool {
+// mayStandForElection reports whether this replica is a voter of a membership that may be in force. One that has stored
+// the membership without its vote, which the other voters have not, can still be needed as the leader that commits it.
+func (m *Machine) mayStandForElection() bool {
 	return slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool { return at.membership.IsVoter(m.id) })
 }
 
--- a/control/services/replicator/replacement.go
+++ b/control/services/replicator/replacement.go
@@ -26,7 +26,7 @@
 		}
 		switch {
 		case ok:
-			m.changeMembership(membership.WithVotePassed(replaced, member))
+			m.changeMembership(membership.WithVoterReplaced(replaced, member))
 			return true
 		case !isFull:
 			member.Voter = true
@@ -63,9 +63,9 @@
 	return replaced, replaced.Voter
 }
 
-// completeVotePassing ends a joint membership. The earlier identity of a replica that has lost its disk stops being a
+// leaveJointMembership ends a joint membership. The earlier identity of a replica that has lost its disk stops being a
 // member.
-func (m *Machine) completeVotePassing() {
+func (m *Machine) leaveJointMembership() {
 	membership := m.membership().WithoutOutgoing()
 	for _, member := range membership.Members {
 		hasSuccessor := slices.ContainsFunc(membership.Members, func(other storer.Member) bool {
@@ -95,8 +95,8 @@
 	if !m.settings.OpenMembership {
 		return false
 	}
-	isPassing := slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool { return at.membership.IsJoint() })
-	if isPassing || m.clock() < m.leaderState.joinsDueAt && !m.doAllVoters(m.isActive) {
+	mayBeJoint := slices.ContainsFunc(m.possibleMemberships(), func(at indexedMembership) bool { return at.membership.IsJoint() })
+	if mayBeJoint || m.clock() < m.leaderState.joinsDueAt && !m.doAllVoters(m.isActive) {
 		return true
 	}
 	return !m.doAllVoters(m.isStaying) && (len(m.leaderState.joins) > 0 || m.hasStandby())
